Run batch jobs of the users' platform: fold, scheduler, entry and agent

The platform's callers hand in jobs of steps whose tasks run on workers under leases. The present scheduler knows gangs with reservations only, so the jobs of steps get a library of their own, batch/: a fold of one log stream, and the decisions of the entry that is the scheduler. platform/ translates the store, the workers, the operator's configuration and the callers. One topic holds submits, cancels, claims, starts and ends; the epoch of the scheduler is the offset after its claim and fences at the workers.

--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 	echo $(filter-out fuzz/%,$(filter %.c,$(OURS))) | tr ' ' '\n' | xargs -P $(JOBS) -n 2 clang-tidy --quiet -p build/lint
 
 schema: schema-deps
-	cd schema && protoc-c --c_out=. carobrun.proto
+	protoc-c --c_out=. schema/batch.proto schema/carobrun.proto
 
 clean:
 	rm -rf build
--- a/base/dat.h
+++ b/base/dat.h
@@ -3,6 +3,7 @@
 #define CB_BASE_DAT_H
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stddef.h>
 #include <stdint.h>
 
--- a/base/fns.h
+++ b/base/fns.h
@@ -14,10 +14,20 @@
 
 /* log.c */
 void cb_log_set_level (cb_log_level_t level);
+gboolean cb_log_enabled (cb_log_level_t level);
+const char *cb_log_level_text (cb_log_level_t level);
 int cb_log_level_parse (const char *text, cb_log_level_t *level);
 void cb_log (cb_log_level_t level, const char *part, const char *fmt, ...)
     G_GNUC_PRINTF (3, 4);
 
+/* event.c */
+void cb_event_budget (uint32_t lines_per_s);
+void cb_event (cb_log_level_t level, const char *part, const char *event,
+               const char *fmt, ...) G_GNUC_PRINTF (4, 5);
+void cb_event_always (cb_log_level_t level, const char *part, const char *event,
+                      const char *fmt, ...) G_GNUC_PRINTF (4, 5);
+uint64_t cb_event_dropped (void);
+
 /* ref.c */
 void cb_ref_init (cb_ref_t *ref, void (*release) (void *object));
 void cb_ref_get (cb_ref_t *ref);
--- a/base/log.c
+++ b/base/log.c
@@ -13,6 +13,19 @@
   current_level = level;
 }
 
+/* TRUE when lines of LEVEL are written. */
+gboolean
+cb_log_enabled (cb_log_level_t level)
+{
+  return level <= current_level;
+}
+
+const char *
+cb_log_level_text (cb_log_level_t level)
+{
+  return level_names[level];
+}
+
 /* Parses error, warn, info or debug into LEVEL.
    Returns CB_ERR_INVALID for another text and leaves LEVEL as it is. */
 int
--- /dev/null
+++ b/batch/fns.h
@@ -0,0 +1,61 @@
+#ifndef CB_BATCH_FNS_H
+#define CB_BATCH_FNS_H
+
+#include "base/fns.h"
+#include "batch/dat.h"
+
+G_BEGIN_DECLS
+
+/* config.c */
+cb_batch_config_t *cb_batch_config_new (void);
+cb_batch_queue_t *cb_batch_config_add_queue (cb_batch_config_t *config,
+                                             const char *name);
+cb_batch_account_t *cb_batch_config_add_account (cb_batch_config_t *config,
+                                                 const char *name);
+void cb_batch_config_ref (cb_batch_config_t *config);
+void cb_batch_config_unref (cb_batch_config_t *config);
+const cb_batch_queue_t *cb_batch_config_find (const cb_batch_config_t *config,
+                                              const char *host, const char *path);
+const cb_batch_account_t *cb_batch_config_account (const cb_batch_config_t *config,
+                                                   const char *key);
+
+/* state.c */
+cb_batch_t *cb_batch_new (const cb_batch_params_t *params);
+void cb_batch_free (cb_batch_t *batch);
+void cb_batch_set_config (cb_batch_t *batch, cb_batch_config_t *config);
+void cb_batch_apply (cb_batch_t *batch, uint64_t offset, const Cb__BatchRecord *record,
+                     cb_msec_t now_ms, cb_msec_t wall_ms);
+uint64_t cb_batch_epoch (const cb_batch_t *batch);
+const char *cb_batch_scheduler (const cb_batch_t *batch);
+cb_msec_t cb_batch_scheduler_seen_ms (const cb_batch_t *batch);
+cb_job_status_t cb_batch_status (const cb_batch_t *batch, const char *job);
+uint32_t cb_batch_pending (const cb_batch_t *batch, const char *queue);
+void cb_batch_sums (const cb_batch_t *batch, cb_batch_sums_t *sums);
+void cb_batch_each_agent (const cb_batch_t *batch,
+                          void (*fn) (void *ctx, const char *name, const char *address),
+                          void *ctx);
+
+/* snapshot.c */
+Cb__BatchSnapshot *cb_batch_save (const cb_batch_t *batch, uint64_t next);
+void cb_batch_load (cb_batch_t *batch, const Cb__BatchSnapshot *snapshot,
+                    cb_msec_t now_ms, cb_msec_t wall_ms);
+
+/* admit.c */
+int cb_batch_admit (const cb_batch_t *batch, const Cb__BatchJob *job, cb_msec_t now_ms,
+                    cb_msec_t *retry_after_ms);
+
+/* lead.c: the scheduler's part. */
+void cb_batch_lead (cb_batch_t *batch, uint64_t epoch, cb_msec_t now_ms);
+void cb_batch_report (cb_batch_t *batch, const char *agent,
+                      const Cb__WorkerReport *report, cb_msec_t now_ms);
+
+void cb_batch_tick (cb_batch_t *batch, cb_msec_t now_ms, cb_msec_t wall_ms);
+Cb__BatchRecord *cb_batch_take_record (cb_batch_t *batch);
+void cb_batch_not_stored (cb_batch_t *batch, const Cb__BatchRecord *record);
+gboolean cb_batch_orders_changed (cb_batch_t *batch, const char *agent);
+Cb__WorkerOrders *cb_batch_orders (cb_batch_t *batch, const char *agent,
+                                   gboolean may_grant, cb_msec_t now_ms);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/batch/local.h
@@ -0,0 +1,210 @@
+/* Shared inside batch/ only. */
+#ifndef CB_BATCH_LOCAL_H
+#define CB_BATCH_LOCAL_H
+
+#include "batch/fns.h"
+
+typedef struct job job_t;
+typedef struct worker worker_t;
+
+typedef enum
+{
+  TASK_WAITING,
+  TASK_STARTED, /* a run is in the log and has not ended */
+  TASK_DONE,
+  TASK_FAILED, /* all attempts failed */
+} task_state_t;
+
+typedef struct
+{
+  /* From the log. */
+  task_state_t state;
+  uint32_t run; /* latest */
+  uint32_t failures;
+  char *saved; /* checkpoint, NULL: none */
+  worker_t *worker; /* of the latest run while STARTED */
+  cb_msec_t started_ms; /* when the start was folded */
+  uint32_t at; /* position in worker->tasks */
+  /* Of the scheduler only. */
+  gboolean proposed_start; /* in a record that is not folded yet */
+  gboolean proposed_end;
+  gboolean seen; /* a report showed the run */
+  gboolean stop; /* the run has to end */
+  cb_msec_t stop_ms; /* since when */
+  char *live_saved; /* newest checkpoint that a report showed, NULL: none */
+  uint32_t percent;
+  cb_msec_t percent_ms; /* when it last changed */
+  /* Place. */
+  job_t *job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+} task_t;
+
+typedef struct
+{
+  task_t *tasks;
+  uint32_t count;
+  uint32_t waiting; /* tasks in TASK_WAITING */
+  uint32_t started;
+  uint32_t done;
+  uint32_t gang_failures;
+  uint32_t gang_failed_run;
+  /* Places that are being emptied for the step's tasks, NULL: none. */
+  worker_t **plan;
+  cb_msec_t plan_ms;
+} step_state_t;
+
+typedef struct
+{
+  step_state_t *steps;
+  uint32_t done_steps;
+} occurrence_t;
+
+struct job
+{
+  Cb__BatchJob *spec;
+  uint32_t n_occurrences;
+  occurrence_t *occurrences;
+  gboolean canceled;
+  gboolean failed;
+  gboolean started;       /* a task has started */
+  cb_msec_t folded_ms;    /* local clock */
+  cb_msec_t ended_wall_ms; /* 0: open */
+  uint32_t open_runs;     /* tasks in TASK_STARTED */
+};
+
+struct worker
+{
+  char *id;
+  uint64_t born_ms;
+  char *agent;
+  char *service;
+  char *zone;
+  char *rack;  /* second label; empty: unknown */
+  char **labels;
+  uint32_t cpu_milli; /* capacity */
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  GPtrArray *tasks; /* of task_t: started or proposed here */
+  /* Of the scheduler only. */
+  gboolean listed; /* it has given its lists in this epoch */
+  gboolean draining;
+  gboolean gone;   /* ended, or another one took its place */
+  uint64_t clock_ms; /* its own clock at the last report */
+  cb_msec_t drain_left_ms;
+  cb_msec_t report_ms;     /* when its last lists came */
+  cb_msec_t lease_over_ms; /* by then all leases that it was granted are over */
+  uint64_t granted_clock_ms;
+  uint64_t last_seen;
+  GPtrArray *strays; /* of Cb__TaskRun: runs that it must stop */
+  gboolean orders_changed;
+  uint32_t failures_in_row;
+  cb_msec_t avoid_until_ms; /* it failed or stalled work lately */
+  double slowness; /* measured run time against expected, smoothed; 1: as expected */
+};
+
+/* What a placement pass may still use of a worker. Below 0: more is promised to planned
+   work than is free at present. */
+typedef struct
+{
+  worker_t *worker;
+  int64_t cpu_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+} room_t;
+
+typedef struct
+{
+  char *name;
+  char *address;
+} agent_t;
+
+/* Run times of a queue's tasks, learned from ends. */
+typedef struct
+{
+  double mean_ms; /* 0: nothing learned */
+  uint32_t count;
+  uint32_t done;
+  uint32_t failed;
+} learned_t;
+
+struct cb_batch
+{
+  cb_batch_params_t params;
+  cb_batch_config_t *config;
+  GHashTable *jobs;  /* id -> job_t */
+  GQueue open;       /* of job_t without an end, in order of acceptance */
+  GHashTable *workers; /* id/born -> worker_t */
+  GHashTable *agents;  /* name -> agent_t */
+  GHashTable *learned; /* queue -> learned_t */
+  uint64_t epoch;      /* of the accepted claim; 0: none yet */
+  char *scheduler;
+  gboolean resigned;
+  cb_msec_t scheduler_seen_ms;
+  /* Of the scheduler only. */
+  uint64_t own_epoch; /* 0: not the scheduler */
+  cb_msec_t lead_ms;  /* since when */
+  GQueue records;     /* of Cb__BatchRecord, to be appended */
+  gboolean dirty;     /* something changed that placement depends on */
+  cb_msec_t placed_ms;
+};
+
+/* A run's lease on the worker's clock, which may be slow, and the time for a report to
+   arrive: after hold_max x LEASE_SLACK + LEASE_MARGIN_MS it is over for sure.
+   Source: the platform states clocks up to 2% slow. */
+#define LEASE_SLACK 1.025
+#define LEASE_MARGIN_MS 300
+/* An earlier scheduler grants leases without a confirmation of the log for at most this
+   long (CB_GRANT_STALE_MS of the entry). */
+#define TAKEOVER_GRANT_MS 4000
+
+G_BEGIN_DECLS
+
+/* state.c */
+job_t *find_job (const cb_batch_t *b, const char *id);
+task_t *find_task (const cb_batch_t *b, const Cb__TaskRun *run);
+const Cb__BatchStep *task_spec (const task_t *task);
+step_state_t *task_step (const task_t *task);
+gboolean job_open (const job_t *job);
+gboolean step_ready (const job_t *job, uint32_t occurrence, uint32_t step,
+                     cb_msec_t wall_ms);
+worker_t *get_worker (cb_batch_t *b, const char *id, uint64_t born_ms,
+                      const char *agent);
+void attach_task (worker_t *w, task_t *task);
+void detach_task (task_t *task);
+job_t *add_job (cb_batch_t *b, const Cb__BatchJob *spec, cb_msec_t now_ms);
+Cb__TaskRun *task_run_new (const task_t *task, uint32_t run);
+
+/* lead.c */
+void propose_end (cb_batch_t *b, task_t *task, Cb__RunEnd how, const char *saved);
+void start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count);
+void stop_task (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why);
+
+/* room.c */
+GPtrArray *rooms_new (cb_batch_t *b, cb_msec_t now_ms);
+gboolean room_fits (const room_t *room, const Cb__BatchStep *step);
+void room_take (room_t *room, const Cb__BatchStep *step);
+void room_give (room_t *room, const Cb__BatchStep *step);
+gboolean room_allows (const room_t *room, const task_t *task);
+gboolean fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
+                    room_t **chosen);
+gboolean fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, room_t **chosen);
+
+/* reclaim.c */
+gboolean account_guaranteed (const cb_batch_t *b, const job_t *job);
+void plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+                   cb_msec_t now_ms);
+
+/* place.c */
+void place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms);
+
+/* learn.c */
+void learn_end (cb_batch_t *b, const task_t *task, Cb__RunEnd how, cb_msec_t now_ms);
+cb_msec_t expected_ms (const cb_batch_t *b, const Cb__BatchJob *job, uint32_t step);
+cb_msec_t remaining_ms (const cb_batch_t *b, const task_t *task, cb_msec_t now_ms);
+cb_msec_t chain_ms (const cb_batch_t *b, const job_t *job);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/batch/room.c
@@ -0,0 +1,232 @@
+#include "batch/local.h"
+
+#include <string.h>
+
+/* A worker without a report for this long gets no new work; reports come twice a
+   second. */
+#define REPORT_FRESH_MS 1600
+
+static room_t *
+room_new (worker_t *w)
+{
+  room_t *room = g_new0 (room_t, 1);
+
+  room->worker = w;
+  room->cpu_milli = w->cpu_milli;
+  room->memory_mb = w->memory_mb;
+  room->accelerators = w->accelerators;
+  for (guint i = 0; i < w->tasks->len; i++)
+    room_take (room, task_spec (w->tasks->pdata[i]));
+  return room;
+}
+
+/* Returns the rooms of all workers that may get work now, sorted by name so that
+   placement does not depend on hash order. Freed with g_ptr_array_free. */
+static gint
+compare_rooms (gconstpointer a, gconstpointer b)
+{
+  const room_t *x = *(room_t *const *)a;
+  const room_t *y = *(room_t *const *)b;
+
+  return strcmp (x->worker->id, y->worker->id);
+}
+
+GPtrArray *
+rooms_new (cb_batch_t *b, cb_msec_t now_ms)
+{
+  GPtrArray *rooms = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      worker_t *w = value;
+
+      if (w->listed && !w->gone && !w->draining &&
+          now_ms - w->report_ms < REPORT_FRESH_MS)
+        g_ptr_array_add (rooms, room_new (w));
+    }
+  g_ptr_array_sort (rooms, compare_rooms);
+  return rooms;
+}
+
+gboolean
+room_fits (const room_t *room, const Cb__BatchStep *step)
+{
+  return (step->fills || room->cpu_milli >= (int64_t)step->cpu_milli) &&
+         room->memory_mb >= (int64_t)step->memory_mb &&
+         room->accelerators >= (int64_t)step->accelerators;
+}
+
+void
+room_take (room_t *room, const Cb__BatchStep *step)
+{
+  room->cpu_milli -= step->fills ? 0 : step->cpu_milli;
+  room->memory_mb -= step->memory_mb;
+  room->accelerators -= step->accelerators;
+}
+
+void
+room_give (room_t *room, const Cb__BatchStep *step)
+{
+  room->cpu_milli += step->fills ? 0 : step->cpu_milli;
+  room->memory_mb += step->memory_mb;
+  room->accelerators += step->accelerators;
+}
+
+static uint32_t
+tasks_of_step (const worker_t *w, const task_t *task)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const task_t *other = w->tasks->pdata[i];
+
+      count += other->job == task->job && other->occurrence == task->occurrence &&
+               other->step == task->step;
+    }
+  return count;
+}
+
+/* TRUE when the worker may run TASK whatever its free room. */
+gboolean
+room_allows (const room_t *room, const task_t *task)
+{
+  const Cb__BatchStep *step = task_spec (task);
+  const worker_t *w = room->worker;
+
+  if (strcmp (w->service, task->job->spec->service) != 0)
+    return FALSE;
+  if (step->label[0] != '\0' &&
+      !g_strv_contains ((const char *const *)w->labels, step->label))
+    return FALSE;
+  return step->per_worker_max == 0 || tasks_of_step (w, task) < step->per_worker_max;
+}
+
+/* Lower is better: away from its data last, then the fullest worker that still holds
+   the task, by accelerators and then by cores, so that whole workers stay free. */
+static double
+room_score (const room_t *room, const Cb__BatchStep *step, cb_msec_t avoid_ms)
+{
+  const worker_t *w = room->worker;
+  double score = (double)(room->accelerators - (int64_t)step->accelerators) +
+                 (double)(room->cpu_milli - (int64_t)step->cpu_milli) /
+                     (double)MAX (1, w->cpu_milli);
+
+  if (step->data_rack[0] != '\0' && strcmp (w->rack, step->data_rack) != 0)
+    score += 1000;
+  if (avoid_ms > 0)
+    score += 100000;
+  return score;
+}
+
+static room_t *
+best_room (GPtrArray *rooms, const task_t *task, const char *rack, room_t **chosen,
+           uint32_t n_chosen)
+{
+  const Cb__BatchStep *step = task_spec (task);
+  room_t *best = NULL;
+  double best_score = 0;
+
+  for (guint i = 0; i < rooms->len; i++)
+    {
+      room_t *room = rooms->pdata[i];
+      uint32_t same = 0;
+      double score;
+
+      if ((rack != NULL && strcmp (room->worker->rack, rack) != 0) ||
+          !room_fits (room, step) || !room_allows (room, task))
+        continue;
+      for (uint32_t k = 0; step->per_worker_max > 0 && k < n_chosen; k++)
+        same += chosen[k] == room;
+      if (step->per_worker_max > 0 &&
+          same + tasks_of_step (room->worker, task) >= step->per_worker_max)
+        continue;
+      score = room_score (room, step,
+                          room->worker->avoid_until_ms - room->worker->report_ms);
+      if (best == NULL || score < best_score)
+        {
+          best = room;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+/* Chooses a room for each of COUNT tasks of one step, in RACK unless it is NULL, and
+   takes it. When not all fit, FALSE is returned and nothing is taken. */
+gboolean
+fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
+           room_t **chosen)
+{
+  const Cb__BatchStep *step = task_spec (tasks[0]);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      chosen[i] = best_room (rooms, tasks[i], rack, chosen, i);
+      if (chosen[i] != NULL)
+        {
+          room_take (chosen[i], step);
+          continue;
+        }
+      while (i > 0)
+        room_give (chosen[--i], step);
+      return FALSE;
+    }
+  return TRUE;
+}
+
+/* TRUE when an empty rack of this name could hold COUNT tasks of STEP. */
+static gboolean
+rack_could_hold (const GPtrArray *rooms, const char *rack, const Cb__BatchStep *step,
+                 uint32_t count)
+{
+  uint64_t most = 0;
+
+  for (guint i = 0; i < rooms->len; i++)
+    {
+      const worker_t *w = ((room_t *)rooms->pdata[i])->worker;
+      uint64_t here = count;
+
+      if (strcmp (w->rack, rack) != 0)
+        continue;
+      if (step->cpu_milli > 0)
+        here = MIN (here, w->cpu_milli / step->cpu_milli);
+      if (step->memory_mb > 0)
+        here = MIN (here, w->memory_mb / step->memory_mb);
+      if (step->accelerators > 0)
+        here = MIN (here, w->accelerators / step->accelerators);
+      if (step->per_worker_max > 0)
+        here = MIN (here, step->per_worker_max);
+      most += here;
+    }
+  return most >= count;
+}
+
+/* As fit_group, for a step whose tasks may have to share a rack. They are spread over
+   racks only when no rack could hold them even if it were empty. */
+gboolean
+fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, room_t **chosen)
+{
+  const Cb__BatchStep *step = task_spec (tasks[0]);
+  GHashTable *tried;
+  gboolean possible = FALSE;
+  gboolean found = FALSE;
+
+  if (!step->same_rack || count < 2)
+    return fit_group (rooms, tasks, count, NULL, chosen);
+  tried = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < rooms->len && !found; i++)
+    {
+      const char *rack = ((room_t *)rooms->pdata[i])->worker->rack;
+
+      if (!g_hash_table_add (tried, (gpointer)rack))
+        continue;
+      possible = possible || rack_could_hold (rooms, rack, step, count);
+      found = fit_group (rooms, tasks, count, rack, chosen);
+    }
+  g_hash_table_unref (tried);
+  return found || (!possible && fit_group (rooms, tasks, count, NULL, chosen));
+}
--- /dev/null
+++ b/batch/snapshot.c
@@ -0,0 +1,145 @@
+#include "batch/local.h"
+
+#include <string.h>
+
+static Cb__BatchTaskState *
+save_task (const task_t *task)
+{
+  Cb__BatchTaskState *state = cb_msg_new (&cb__batch_task_state__descriptor);
+
+  state->state = task->state;
+  state->run = task->run;
+  state->failures = task->failures;
+  if (task->saved != NULL)
+    cb_msg_set_string (&state->saved, task->saved);
+  if (task->state != TASK_STARTED)
+    return state;
+  cb_msg_set_string (&state->worker, task->worker->id);
+  cb_msg_set_string (&state->agent, task->worker->agent);
+  state->born_ms = task->worker->born_ms;
+  return state;
+}
+
+static Cb__BatchJobState *
+save_job (const job_t *job)
+{
+  Cb__BatchJobState *state = cb_msg_new (&cb__batch_job_state__descriptor);
+
+  state->job = (Cb__BatchJob *)cb_msg_copy (&job->spec->base);
+  state->canceled = job->canceled;
+  state->failed = job->failed;
+  state->ended_ms = (uint64_t)job->ended_wall_ms;
+  for (uint32_t k = 0; k < job->n_occurrences; k++)
+    for (size_t i = 0; i < job->spec->n_steps; i++)
+      {
+        const step_state_t *step = &job->occurrences[k].steps[i];
+        Cb__BatchStepState *saved = cb_msg_new (&cb__batch_step_state__descriptor);
+
+        saved->gang_failures = step->gang_failures;
+        saved->gang_failed_run = step->gang_failed_run;
+        for (uint32_t t = 0; t < step->count; t++)
+          cb_msg_append ((void ***)&saved->tasks, &saved->n_tasks,
+                         save_task (&step->tasks[t]));
+        cb_msg_append ((void ***)&state->steps, &state->n_steps, saved);
+      }
+  return state;
+}
+
+/* Returns the folded state; NEXT is the offset of the first record that it lacks. The
+   caller frees it. */
+Cb__BatchSnapshot *
+cb_batch_save (const cb_batch_t *b, uint64_t next)
+{
+  Cb__BatchSnapshot *snapshot = cb_msg_new (&cb__batch_snapshot__descriptor);
+  GHashTableIter iter;
+  gpointer value;
+
+  snapshot->next = next;
+  snapshot->epoch = b->epoch;
+  cb_msg_set_string (&snapshot->scheduler, b->scheduler);
+  for (const GList *l = b->open.head; l != NULL; l = l->next)
+    cb_msg_append ((void ***)&snapshot->jobs, &snapshot->n_jobs, save_job (l->data));
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const agent_t *agent = value;
+      Cb__BatchAgent *message = cb_msg_new (&cb__batch_agent__descriptor);
+
+      cb_msg_set_string (&message->name, agent->name);
+      cb_msg_set_string (&message->address, agent->address);
+      cb_msg_append ((void ***)&snapshot->agents, &snapshot->n_agents, message);
+    }
+  return snapshot;
+}
+
+static void
+load_task (cb_batch_t *b, task_t *task, const Cb__BatchTaskState *state,
+           cb_msec_t now_ms)
+{
+  step_state_t *step = task_step (task);
+
+  task->run = state->run;
+  task->failures = state->failures;
+  if (state->saved[0] != '\0')
+    task->saved = g_strdup (state->saved);
+  if (state->state == TASK_WAITING || state->state > TASK_FAILED)
+    return;
+  step->waiting--;
+  task->state = (task_state_t)state->state;
+  step->started += task->state == TASK_STARTED;
+  step->done += task->state == TASK_DONE;
+  task->job->started = TRUE;
+  if (task->state != TASK_STARTED)
+    return;
+  task->job->open_runs++;
+  task->started_ms = now_ms;
+  task->percent_ms = now_ms;
+  attach_task (get_worker (b, state->worker, state->born_ms, state->agent), task);
+}
+
+static void
+load_job (cb_batch_t *b, const Cb__BatchJobState *state, cb_msec_t now_ms)
+{
+  job_t *job;
+  size_t n = 0;
+
+  if (state->job == NULL || find_job (b, state->job->id) != NULL)
+    return;
+  job = add_job (b, state->job, now_ms);
+  job->canceled = state->canceled;
+  job->failed = state->failed;
+  job->ended_wall_ms = (cb_msec_t)state->ended_ms;
+  for (uint32_t k = 0; k < job->n_occurrences; k++)
+    for (size_t i = 0; i < job->spec->n_steps && n < state->n_steps; i++, n++)
+      {
+        step_state_t *step = &job->occurrences[k].steps[i];
+        const Cb__BatchStepState *saved = state->steps[n];
+
+        step->gang_failures = saved->gang_failures;
+        step->gang_failed_run = saved->gang_failed_run;
+        for (uint32_t t = 0; t < step->count && t < saved->n_tasks; t++)
+          load_task (b, &step->tasks[t], saved->tasks[t], now_ms);
+      }
+}
+
+/* Fills an empty state from SNAPSHOT. */
+void
+cb_batch_load (cb_batch_t *b, const Cb__BatchSnapshot *snapshot, cb_msec_t now_ms,
+               cb_msec_t wall_ms)
+{
+  Cb__BatchRecord record = CB__BATCH_RECORD__INIT;
+
+  (void)wall_ms;
+  b->epoch = snapshot->epoch;
+  b->scheduler_seen_ms = now_ms;
+  g_free (b->scheduler);
+  b->scheduler = g_strdup (snapshot->scheduler);
+  for (size_t i = 0; i < snapshot->n_jobs; i++)
+    load_job (b, snapshot->jobs[i], now_ms);
+  record.body_case = CB__BATCH_RECORD__BODY_AGENT;
+  for (size_t i = 0; i < snapshot->n_agents; i++)
+    {
+      record.agent = snapshot->agents[i];
+      cb_batch_apply (b, 0, &record, now_ms, wall_ms);
+    }
+}
--- /dev/null
+++ b/cmd/batch.h
@@ -0,0 +1,114 @@
+/* Shared by the parts of `carobrun batch-entry`. */
+#ifndef CB_CMD_BATCH_H
+#define CB_CMD_BATCH_H
+
+#include "batch/fns.h"
+#include "cmd/fns.h"
+#include "net/fns.h"
+#include "platform/fns.h"
+
+/* Stream of the records that all entries fold. */
+#define CB_BATCH_STREAM "batch"
+/* A scheduler that has not had the log confirmed for this long grants no leases; a new
+   one waits for as long (TAKEOVER_GRANT_MS in batch/local.h). */
+#define CB_GRANT_STALE_MS 4000
+/* Records that were not sent, or not answered, within this time in ms are reported to
+   their callers, who wait 3 s. */
+#define CB_GIVE_UP_MS 2300
+
+/* A connection to an agent, kept by the scheduler only. */
+typedef struct
+{
+  char *agent;
+  char *address;
+  cb_wire_t *wire;
+  cb_msec_t connected_ms;
+  cb_msec_t heard_ms; /* last report */
+  cb_msec_t sent_ms;
+  struct cb_batch_entry *entry;
+} cb_batch_link_t;
+
+typedef struct cb_batch_entry
+{
+  Cb__PlatformSettings *settings;
+  cb_loop_t *loop;
+  cb_clock_t *clock;
+  cb_counters_t *counters;
+  cb_store_t *store;
+  cb_batch_t *batch;
+  cb_batch_config_t *config; /* NULL: none read yet */
+  char *identity;            /* name and start time; unique for each start */
+  cb_http_server_t *callers;
+  cb_http_server_t *ready;
+  cb_http_server_t *metrics;
+  cb_timer_t *timer;
+
+  /* The log's tail. */
+  cb_writer_t *writer;
+  GHashTable *appends; /* tag -> append_t */
+  uint64_t next_tag;
+  uint64_t next;         /* offset to read */
+  gboolean snapshot_read;
+  gboolean caught_up;    /* has read to the end at least once */
+  gboolean reading;
+  cb_msec_t read_ms;     /* when the last successful read was sent */
+  cb_msec_t healthy_ms;  /* since when reads have succeeded without a failure */
+  gboolean healthy;
+  cb_timer_t *read_timer;
+  uint64_t saved_next; /* of the newest own snapshot */
+  cb_msec_t saved_ms;
+  gboolean saving;
+
+  /* The configuration's tail. */
+  uint64_t config_next;
+  gboolean config_listed;
+  cb_msec_t config_read_ms;
+  cb_timer_t *config_timer;
+
+  /* Scheduler. */
+  uint64_t own_epoch; /* 0: not the scheduler */
+  uint64_t claimed;   /* epoch that the last own claim replaces, plus 1 */
+  cb_msec_t claim_ms;
+  cb_msec_t append_ms; /* last record of the scheduler */
+  GHashTable *links;   /* agent -> cb_batch_link_t */
+
+  cb_msec_t term_ms; /* 0: not asked to end */
+} cb_batch_entry_t;
+
+/* Result of an append: 0 or an error of logc/. RECORD is the one that was added. */
+typedef void (*cb_batch_stored_t) (cb_batch_entry_t *entry, void *ctx, int err,
+                                   const Cb__BatchRecord *record);
+
+G_BEGIN_DECLS
+
+/* batch_entry.c */
+void cb_batch_pump (cb_batch_entry_t *entry);
+cb_msec_t cb_batch_now (void);
+
+/* batch_log.c */
+void cb_batch_log_open (cb_batch_entry_t *entry);
+void cb_batch_log_close (cb_batch_entry_t *entry);
+void cb_batch_append (cb_batch_entry_t *entry, Cb__BatchRecord *record,
+                      cb_batch_stored_t done, void *ctx);
+gboolean cb_batch_log_fresh (const cb_batch_entry_t *entry, cb_msec_t age_ms);
+
+/* batch_config.c */
+void cb_batch_config_open (cb_batch_entry_t *entry);
+void cb_batch_config_close (cb_batch_entry_t *entry);
+
+/* batch_save.c */
+void cb_batch_save_load (cb_batch_entry_t *entry, void (*done) (cb_batch_entry_t *));
+void cb_batch_save_tick (cb_batch_entry_t *entry, cb_msec_t now_ms);
+
+/* batch_lead.c */
+void cb_batch_lead_tick (cb_batch_entry_t *entry, cb_msec_t now_ms);
+void cb_batch_lead_check (cb_batch_entry_t *entry);
+void cb_batch_lead_resign (cb_batch_entry_t *entry);
+void cb_batch_lead_close (cb_batch_entry_t *entry);
+
+/* batch_http.c */
+int cb_batch_http_open (cb_batch_entry_t *entry);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/cmd/batch_http.c
@@ -0,0 +1,292 @@
+#include "cmd/batch.h"
+
+#include <string.h>
+
+/* An answer that depends on the log's tail may be as old as this. */
+#define VIEW_AGE_MS 2500
+/* Longest time without the log before new work is refused at once. */
+#define LOG_SILENT_MS 2000
+/* An entry that has not read the log or the configuration for this long is not ready. */
+#define READY_AGE_MS 3000
+/* When a caller whose request met an outage should come back. */
+#define OUTAGE_RETRY_MS 1000
+
+static void
+reply_json (cb_http_req_t *req, int status, const char *text)
+{
+  cb_http_reply (req, status, "application/json", text, strlen (text));
+}
+
+/* Answers with STATUS and a reason. RETRY_AFTER_MS above 0 is rounded up to the seconds
+   of the header. */
+static void
+refuse (cb_batch_entry_t *entry, cb_http_req_t *req, int status, const char *reason,
+        cb_msec_t retry_after_ms)
+{
+  char *body = g_strdup_printf ("{\"error\":\"%s\"}", reason);
+  char *label = g_strdup_printf ("reason=\"%s\"", reason);
+  char *seconds;
+
+  cb_counters_add (entry->counters, "requests_refused_total", label, 1);
+  cb_event_always (CB_LOG_INFO, "entry", "refused",
+                   "method=%s path=%s status=%d reason=%s retry_after_ms=%" PRId64
+                   " config=%" PRIu64 " log_age_ms=%" PRId64,
+                   cb_http_method (req), cb_http_path (req), status, reason,
+                   retry_after_ms, entry->config == NULL ? 0 : entry->config->version,
+                   cb_batch_now () - entry->read_ms);
+  if (retry_after_ms > 0)
+    {
+      seconds = g_strdup_printf ("%" PRId64, (retry_after_ms + 999) / 1000);
+      cb_http_add_header (req, "retry-after", seconds);
+      g_free (seconds);
+    }
+  reply_json (req, status, body);
+  g_free (label);
+  g_free (body);
+}
+
+static void
+on_stored (cb_batch_entry_t *entry, void *ctx, int err, const Cb__BatchRecord *record)
+{
+  cb_http_req_t *req = ctx;
+  const char *job = record->body_case == CB__BATCH_RECORD__BODY_SUBMIT
+                        ? record->submit->id
+                        : record->cancel->job;
+
+  if (err == CB_OK)
+    {
+      cb_event (CB_LOG_INFO, "entry",
+                record->body_case == CB__BATCH_RECORD__BODY_SUBMIT ? "accepted"
+                                                                   : "cancel_accepted",
+                "job=%s", job);
+      cb_counters_add (entry->counters,
+                       record->body_case == CB__BATCH_RECORD__BODY_SUBMIT
+                           ? "jobs_accepted_total"
+                           : "jobs_canceled_total",
+                       NULL, 1);
+      reply_json (req, 200, "{}");
+    }
+  else if (err == CB_LOGC_UNAVAILABLE)
+    refuse (entry, req, 504, "store_answer_unknown", 0);
+  else
+    refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
+}
+
+static const char *
+admit_reason (int err)
+{
+  if (err == CB_BATCH_NEVER_FITS)
+    return "never_fits";
+  return err == CB_BATCH_OVERLOADED ? "overloaded" : "invalid_job";
+}
+
+static void
+submit (cb_batch_entry_t *entry, cb_http_req_t *req, const cb_batch_queue_t *queue,
+        const cb_batch_account_t *account, const char *id)
+{
+  Cb__BatchRecord *record;
+  Cb__BatchJob *job = NULL;
+  size_t len;
+  const char *body = cb_http_body (req, &len);
+  cb_msec_t retry_after_ms = 0;
+  int err;
+
+  if (cb_batch_status (entry->batch, id) != CB_JOB_UNKNOWN)
+    {
+      reply_json (req, 200, "{}");
+      return;
+    }
+  if (!cb_batch_log_fresh (entry, LOG_SILENT_MS))
+    {
+      refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
+      return;
+    }
+  if (cb_platform_job_read (body, len, &job) < 0)
+    {
+      refuse (entry, req, 400, "invalid_job", 0);
+      return;
+    }
+  cb_msg_set_string (&job->id, id);
+  cb_msg_set_string (&job->queue, queue->name);
+  cb_msg_set_string (&job->service, queue->service);
+  if (account != NULL)
+    cb_msg_set_string (&job->account, account->name);
+  job->priority = queue->priority;
+  job->attempts = queue->attempts;
+  job->stretch_milli = (uint32_t)(queue->stretch * 1000);
+  job->slack_ms = queue->slack_ms;
+  job->accepted_ms = (uint64_t)cb_clock_wall (entry->clock);
+  err = cb_batch_admit (entry->batch, job, cb_batch_now (), &retry_after_ms);
+  if (err < 0)
+    {
+      cb_msg_free (job);
+      refuse (entry, req, err == CB_BATCH_INVALID ? 400 : 429, admit_reason (err),
+              retry_after_ms);
+      return;
+    }
+  record = cb_msg_new (&cb__batch_record__descriptor);
+  record->body_case = CB__BATCH_RECORD__BODY_SUBMIT;
+  record->submit = job;
+  cb_batch_append (entry, record, on_stored, req);
+  cb_batch_pump (entry);
+}
+
+static void
+cancel (cb_batch_entry_t *entry, cb_http_req_t *req, const char *id)
+{
+  Cb__BatchRecord *record;
+  cb_job_status_t status = cb_batch_status (entry->batch, id);
+
+  if (status == CB_JOB_UNKNOWN && !cb_batch_log_fresh (entry, VIEW_AGE_MS))
+    {
+      refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
+      return;
+    }
+  if (status == CB_JOB_UNKNOWN)
+    {
+      reply_json (req, 410, "{}");
+      return;
+    }
+  if (status == CB_JOB_CANCELED)
+    {
+      reply_json (req, 200, "{}");
+      return;
+    }
+  record = cb_msg_new (&cb__batch_record__descriptor);
+  record->body_case = CB__BATCH_RECORD__BODY_CANCEL;
+  record->cancel = cb_msg_new (&cb__batch_cancel__descriptor);
+  cb_msg_set_string (&record->cancel->job, id);
+  cb_batch_append (entry, record, on_stored, req);
+  cb_batch_pump (entry);
+}
+
+static void
+show (cb_batch_entry_t *entry, cb_http_req_t *req, const char *id)
+{
+  cb_job_status_t status = cb_batch_status (entry->batch, id);
+  char *text;
+
+  if (status == CB_JOB_UNKNOWN && !cb_batch_log_fresh (entry, VIEW_AGE_MS))
+    {
+      refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
+      return;
+    }
+  text = cb_platform_status_text (status);
+  reply_json (req, status == CB_JOB_UNKNOWN ? 410 : 200, text);
+  g_free (text);
+}
+
+static void
+show_queue (cb_batch_entry_t *entry, cb_http_req_t *req, const cb_batch_queue_t *queue)
+{
+  char *text = cb_platform_pending_text (cb_batch_pending (entry->batch, queue->name));
+
+  reply_json (req, 200, text);
+  g_free (text);
+}
+
+static void
+on_caller (void *ctx, cb_http_req_t *req)
+{
+  cb_batch_entry_t *entry = ctx;
+  const char *method = cb_http_method (req);
+  const cb_batch_queue_t *queue;
+  const cb_batch_account_t *account;
+  const char *id;
+
+  if (entry->config == NULL)
+    {
+      refuse (entry, req, 503, "no_config", OUTAGE_RETRY_MS);
+      return;
+    }
+  queue =
+      cb_batch_config_find (entry->config, cb_http_host (req), cb_http_path (req));
+  if (queue == NULL)
+    {
+      refuse (entry, req, 404, "no_such_queue", 0);
+      return;
+    }
+  account = cb_batch_config_account (entry->config, cb_platform_caller_key (req));
+  if (account == NULL && !queue->open)
+    {
+      refuse (entry, req, 401, "unknown_key", 0);
+      return;
+    }
+  id = cb_http_path (req) + strlen (queue->prefix);
+  if (*id == '\0' && strcmp (method, "GET") == 0)
+    show_queue (entry, req, queue);
+  else if (!cb_platform_job_id_valid (id))
+    refuse (entry, req, 400, "invalid_id", 0);
+  else if (strcmp (method, "GET") == 0)
+    show (entry, req, id);
+  else if (strcmp (method, "DELETE") == 0)
+    cancel (entry, req, id);
+  else if (strcmp (method, "POST") == 0)
+    submit (entry, req, queue, account, id);
+  else
+    refuse (entry, req, 405, "unknown_method", 0);
+}
+
+static void
+on_ready (void *ctx, cb_http_req_t *req)
+{
+  const cb_batch_entry_t *entry = ctx;
+  gboolean ready = entry->term_ms == 0 && entry->config != NULL &&
+                   cb_batch_log_fresh (entry, READY_AGE_MS);
+
+  reply_json (req, ready && cb_platform_is_ready_check (req) ? 200 : 503, "{}");
+}
+
+static void
+on_metrics (void *ctx, cb_http_req_t *req)
+{
+  cb_batch_entry_t *entry = ctx;
+  cb_batch_sums_t sums;
+  char *text;
+
+  cb_batch_sums (entry->batch, &sums);
+  cb_counters_set (entry->counters, "jobs_open", NULL, sums.jobs);
+  cb_counters_set (entry->counters, "jobs_waiting", NULL, sums.jobs_waiting);
+  cb_counters_set (entry->counters, "tasks_waiting", NULL, sums.tasks_waiting);
+  cb_counters_set (entry->counters, "tasks_running", NULL, sums.tasks_running);
+  cb_counters_set (entry->counters, "workers", NULL, sums.workers);
+  cb_counters_set (entry->counters, "accelerators", NULL, sums.accelerators);
+  cb_counters_set (entry->counters, "accelerators_used", NULL, sums.accelerators_used);
+  cb_counters_set (entry->counters, "scheduler", NULL, entry->own_epoch != 0);
+  cb_counters_set (entry->counters, "store_calls_total", NULL,
+                   cb_store_calls (entry->store));
+  cb_counters_set (entry->counters, "log_lines_dropped_total", NULL,
+                   cb_event_dropped ());
+  text = cb_counters_text (entry->counters);
+  cb_http_reply (req, 200, "text/plain; version=0.0.4", text, strlen (text));
+  g_free (text);
+}
+
+static int
+listen_on (cb_batch_entry_t *entry, const char *address, cb_http_handler_t handler,
+           cb_http_server_t **server)
+{
+  int err = address[0] == '\0'
+                ? CB_OK
+                : cb_http_listen (entry->loop, address, handler, entry, server);
+
+  if (err < 0)
+    cb_event_always (CB_LOG_ERROR, "entry", "listen_failed", "address=%s err=%d",
+                     address, err);
+  return err;
+}
+
+/* Listens for callers, health checks and metrics. Returns 0 or an error of net/. */
+int
+cb_batch_http_open (cb_batch_entry_t *entry)
+{
+  int err =
+      listen_on (entry, entry->settings->caller_address, on_caller, &entry->callers);
+
+  if (err == CB_OK)
+    err = listen_on (entry, entry->settings->ready_address, on_ready, &entry->ready);
+  if (err == CB_OK)
+    err = listen_on (entry, entry->settings->metrics_address, on_metrics,
+                     &entry->metrics);
+  return err;
+}
--- a/cmd/fns.h
+++ b/cmd/fns.h
@@ -6,6 +6,7 @@
 #include "base/fns.h"
 #include "cmd/dat.h"
 #include "codec/fns.h"
+#include "platform/fns.h"
 
 /* client.c */
 extern const struct argp cb_client_argp;
@@ -30,9 +31,15 @@
 int cb_cmd_read_files (const char *inventory_path, const char *rules_path,
                        Cb__Config **config);
 
+/* batch_entry.c */
+int cb_cmd_platform (int argc, char **argv, const char *doc,
+                     int (*run_command) (Cb__PlatformSettings *settings));
+
 /* One command each: runs it with argv[0] "carobrun NAME" and returns its exit status.
  */
 int cb_cmd_agent (int argc, char **argv);
+int cb_cmd_batch_agent (int argc, char **argv);
+int cb_cmd_batch_entry (int argc, char **argv);
 int cb_cmd_apply (int argc, char **argv);
 int cb_cmd_cancel (int argc, char **argv);
 int cb_cmd_check (int argc, char **argv);
--- a/cmd/main.c
+++ b/cmd/main.c
@@ -6,6 +6,9 @@
 static const cb_command_t commands[] = {
   { "entry", "run an entry", cb_cmd_entry },
   { "agent", "run the agent beside an endpoint or worker", cb_cmd_agent },
+  { "batch-entry", "run an entry for batch jobs on the platform", cb_cmd_batch_entry },
+  { "batch-agent", "run the agent beside a worker of the platform",
+    cb_cmd_batch_agent },
   { "verify", "check the invariants in event traces", cb_cmd_verify },
   { "apply", "publish a changed configuration", cb_cmd_apply },
   { "cancel", "cancel a job", cb_cmd_cancel },
@@ -27,7 +30,7 @@
 {
   fprintf (out, "usage: carobrun COMMAND [OPTION...]\n\ncommands:\n");
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
-    fprintf (out, "  %-10s %s\n", commands[i].name, commands[i].summary);
+    fprintf (out, "  %-12s %s\n", commands[i].name, commands[i].summary);
   fprintf (out, "\n`carobrun COMMAND --help` explains a command.\n");
   return status;
 }
--- a/codec/tree.c
+++ b/codec/tree.c
@@ -131,6 +131,19 @@
   g_free (list);
 }
 
+static void
+fill_double (cb_fill_t *fill, const cb_node_t *node, double *value)
+{
+  char *end = NULL;
+  double number = node->text == NULL ? 0 : g_ascii_strtod (node->text, &end);
+
+  if (end == NULL || end == node->text || *end != '\0' || !(number >= 0) ||
+      number > G_MAXUINT32)
+    fail_type (fill, node, "a number of 0 or more");
+  else
+    *value = number;
+}
+
 static void
 fill_string (cb_fill_t *fill, const cb_node_t *node, char **value)
 {
@@ -187,6 +200,9 @@
     case PROTOBUF_C_TYPE_UINT64:
       fill_number (fill, node, UINT64_MAX, at);
       return;
+    case PROTOBUF_C_TYPE_DOUBLE:
+      fill_double (fill, node, at);
+      return;
     case PROTOBUF_C_TYPE_BOOL:
       if (node->kind == CB_NODE_BOOL)
         *(protobuf_c_boolean *)at = strcmp (node->text, "true") == 0;
@@ -216,6 +232,7 @@
   switch (field->type)
     {
     case PROTOBUF_C_TYPE_UINT64:
+    case PROTOBUF_C_TYPE_DOUBLE:
       return sizeof (uint64_t);
     case PROTOBUF_C_TYPE_STRING:
     case PROTOBUF_C_TYPE_MESSAGE:
--- a/net/client.c
+++ b/net/client.c
@@ -1,13 +1,20 @@
 #include "net/local.h"
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define DEFAULT_MAX_BODY_BYTES ((size_t)16 << 20)
 
-/* Each call opens a connection of its own. A connection that a middle box has forgotten
-   can therefore never be picked for a new request. */
+/* Idle connections kept for an address, and the time in ms after which one is closed.
+   Shorter than the idle timeouts of common servers (5 s and more). */
+#define POOL_CAPACITY 64
+#define POOL_IDLE_MS 4000
+
+/* Without keep_alive a call opens a connection of its own: one that a middle box has
+   forgotten can then never be picked for a new request. With it, a call that fails
+   closes its connection, so that only the first call on such a connection is lost. */
 struct cb_http_call
 {
   cb_loop_t *loop;
@@ -158,9 +165,10 @@
   GString *text = g_string_new (NULL);
 
   g_string_append_printf (text,
-                          "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n"
+                          "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: %s\r\n"
                           "content-length: %zu\r\n%s\r\n",
-                          spec->method, spec->path, spec->address, spec->body_len,
+                          spec->method, spec->path, spec->address,
+                          spec->keep_alive ? "keep-alive" : "close", spec->body_len,
                           spec->headers == NULL ? "" : spec->headers);
   if (spec->body_len > 0)
     g_string_append_len (text, spec->body, (gssize)spec->body_len);
@@ -176,6 +184,40 @@
   release_call (call);
 }
 
+/* Returns the pool of idle connections to HOST:PORT, which the loop owns. */
+static h2o_socketpool_t *
+find_pool (cb_loop_t *loop, const char *address, struct in_addr host, uint16_t port)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_addr = host };
+  h2o_socketpool_t *pool = g_hash_table_lookup (loop->pools, address);
+
+  if (pool != NULL)
+    return pool;
+  addr.sin_port = htons (port);
+  pool = g_new0 (h2o_socketpool_t, 1);
+  h2o_socketpool_init_by_address (pool, (struct sockaddr *)&addr, sizeof addr, 0,
+                                  POOL_CAPACITY);
+  h2o_socketpool_set_timeout (pool, loop->h2o, POOL_IDLE_MS);
+  g_hash_table_insert (loop->pools, g_strdup (address), pool);
+  return pool;
+}
+
+/* Closes all idle client connections. */
+void
+cb_loop_free_pools (cb_loop_t *loop)
+{
+  GHashTableIter iter;
+  gpointer pool;
+
+  g_hash_table_iter_init (&iter, loop->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    {
+      h2o_socketpool_dispose (pool);
+      g_free (pool);
+    }
+  g_hash_table_unref (loop->pools);
+}
+
 /* Sends one request and calls DONE exactly once, never before this function returns,
    unless the call is canceled. Errors: CB_NET_CONNECT and CB_NET_BAD_ADDRESS mean that
    nothing was sent; after CB_NET_CLOSED, CB_NET_TIMEOUT, CB_NET_TRUNCATED and
@@ -209,8 +251,13 @@
       return call;
     }
   call->timer = cb_timer_new (loop, spec->timeout_ms, 0, on_timeout, call);
-  h2o_http1client_connect (&call->client, call, &call->ctx,
-                           h2o_iovec_init (host, strlen (host)), port, 0, on_connect);
+  if (spec->keep_alive)
+    h2o_http1client_connect_with_pool (
+        &call->client, call, &call->ctx,
+        find_pool (loop, spec->address, parsed, port), on_connect);
+  else
+    h2o_http1client_connect (&call->client, call, &call->ctx,
+                             h2o_iovec_init (host, strlen (host)), port, 0, on_connect);
   g_free (host);
   return call;
 }
--- a/net/dat.h
+++ b/net/dat.h
@@ -41,6 +41,7 @@
   size_t body_len;       /* bytes */
   cb_msec_t timeout_ms;  /* for the whole exchange */
   size_t max_body_bytes; /* of the answer; 0: 16 MiB */
+  gboolean keep_alive;   /* reuse idle connections to the address */
 } cb_http_spec_t;
 
 /* ERR is 0 or an error of this layer; then STATUS is 0 and BODY NULL. BODY is valid
--- a/net/fns.h
+++ b/net/fns.h
@@ -29,6 +29,8 @@
 const char *cb_http_path (const cb_http_req_t *req);
 const char *cb_http_query (const cb_http_req_t *req, const char *name);
 const char *cb_http_header (cb_http_req_t *req, const char *name);
+const char *cb_http_host (const cb_http_req_t *req);
+void cb_http_add_header (cb_http_req_t *req, const char *name, const char *value);
 const char *cb_http_body (const cb_http_req_t *req, size_t *len);
 void cb_http_reply (cb_http_req_t *req, int status, const char *content_type,
                     const void *body, size_t len);
--- a/net/local.h
+++ b/net/local.h
@@ -15,9 +15,11 @@
   h2o_multithread_queue_t *queue;
   h2o_multithread_receiver_t getaddr;
   GSequence *timers; /* of cb_timer_t, by due time */
+  GHashTable *pools; /* address -> h2o_socketpool_t, of idle client connections */
   gboolean stopping;
 };
 
 void *cb_loop_zmq (cb_loop_t *loop);
+void cb_loop_free_pools (cb_loop_t *loop);
 
 #endif
--- a/net/loop.c
+++ b/net/loop.c
@@ -92,6 +92,7 @@
 
   loop->h2o = h2o_evloop_create ();
   loop->timers = g_sequence_new (NULL);
+  loop->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   loop->queue = h2o_multithread_create_queue (loop->h2o);
   h2o_multithread_register_receiver (loop->queue, &loop->getaddr,
                                      h2o_hostinfo_getaddr_receiver);
@@ -106,6 +107,7 @@
   h2o_multithread_unregister_receiver (loop->queue, &loop->getaddr);
   h2o_multithread_destroy_queue (loop->queue);
   g_sequence_free (loop->timers);
+  cb_loop_free_pools (loop);
   if (loop->zmq != NULL)
     zmq_ctx_term (loop->zmq);
   /* h2o_evloop_destroy aborts while a timeout is registered, as those of h2o's server
--- a/net/server.c
+++ b/net/server.c
@@ -41,6 +41,7 @@
   h2o_req_t *h2o; /* NULL when the client has gone */
   guard_t *guard;
   char *method;
+  char *host;
   char *path;
   GHashTable *query;
   char *body;
@@ -77,6 +78,7 @@
   req->server = server;
   req->h2o = h2o;
   req->method = g_strndup (h2o->method.base, h2o->method.len);
+  req->host = g_strndup (h2o->input.authority.base, h2o->input.authority.len);
   req->path = g_uri_unescape_string (raw, NULL);
   if (req->path == NULL)
     req->path = g_strdup (raw);
@@ -232,6 +234,28 @@
   return value.base;
 }
 
+/* Returns the host that the request names, with its port if any; empty when unknown. */
+const char *
+cb_http_host (const cb_http_req_t *req)
+{
+  return req->host;
+}
+
+/* Adds a header to the answer; NAME in lower case. Call before cb_http_reply. */
+void
+cb_http_add_header (cb_http_req_t *req, const char *name, const char *value)
+{
+  h2o_iovec_t n;
+  h2o_iovec_t v;
+
+  if (req->h2o == NULL)
+    return;
+  n = h2o_strdup (&req->h2o->pool, name, strlen (name));
+  v = h2o_strdup (&req->h2o->pool, value, strlen (value));
+  h2o_add_header_by_str (&req->h2o->pool, &req->h2o->res.headers, n.base, n.len, 1,
+                         NULL, v.base, v.len);
+}
+
 /* Returns the body, which ends with a zero byte that LEN does not count. */
 const char *
 cb_http_body (const cb_http_req_t *req, size_t *len)
@@ -250,6 +274,7 @@
   if (req->query != NULL)
     g_hash_table_unref (req->query);
   g_free (req->method);
+  g_free (req->host);
   g_free (req->path);
   g_free (req->body);
   g_free (req);
