Stop less urgent work for urgent jobs that cannot start, within a loss limit

Urgent jobs (1.5 s of slack) waited behind work with 20 s and more. Now work of a higher priority number gives way when what is lost is at most half of the urgent job's own work; gangs are stopped as a whole, and a gang of which a member did not start is stopped before the others wait in vain.

--- a/batch/admit.c
+++ b/batch/admit.c
@@ -24,8 +24,8 @@
   return CB_OK;
 }
 
-/* Decides whether a new job is accepted: 0, or why it is refused at once. RETRY_AFTER_MS
-   is when a place may be free; 0: never. */
+/* Decides whether a new job is accepted: 0, or why it is refused at once.
+   RETRY_AFTER_MS is when a place may be free; 0: never. */
 int
 cb_batch_admit (const cb_batch_t *b, const Cb__BatchJob *job, cb_msec_t now_ms,
                 cb_msec_t *retry_after_ms)
--- a/batch/config.c
+++ b/batch/config.c
@@ -43,7 +43,8 @@
   cb_ref_init (&config->ref, release);
   config->queues = g_ptr_array_new_with_free_func (free_queue);
   config->accounts = g_ptr_array_new_with_free_func (free_account);
-  config->account_of_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  config->account_of_key =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return config;
 }
 
--- a/batch/dat.h
+++ b/batch/dat.h
@@ -1,6 +1,6 @@
 /* Batch jobs: steps of tasks that workers run under leases. The fold of the `batch`
-   stream, which every entry keeps, and the decisions of the entry that is the scheduler.
-   No I/O and no clock: every call gets the time. */
+   stream, which every entry keeps, and the decisions of the entry that is the
+   scheduler. No I/O and no clock: every call gets the time. */
 #ifndef CB_BATCH_DAT_H
 #define CB_BATCH_DAT_H
 
@@ -36,7 +36,7 @@
   char *name;
   char *host;
   char *prefix;
-  char *service;    /* its workers run the tasks */
+  char *service;     /* its workers run the tasks */
   uint32_t priority; /* 0 comes first */
   uint32_t attempts; /* failed runs of a task before the job fails */
   uint32_t timeout_ms;
@@ -56,19 +56,19 @@
 {
   cb_ref_t ref;
   uint64_t version;
-  GPtrArray *queues;         /* of cb_batch_queue_t */
-  GPtrArray *accounts;       /* of cb_batch_account_t */
+  GPtrArray *queues;          /* of cb_batch_queue_t */
+  GPtrArray *accounts;        /* of cb_batch_account_t */
   GHashTable *account_of_key; /* key -> cb_batch_account_t, not owned */
-  uint32_t max_body_bytes;   /* 0: no limit */
+  uint32_t max_body_bytes;    /* 0: no limit */
 } cb_batch_config_t;
 
 /* Times in ms of the deployment that the decisions depend on. */
 typedef struct
 {
-  cb_msec_t hold_max_ms; /* longest lease of a worker */
-  cb_msec_t stop_ms;     /* a stop takes at most this long */
-  cb_msec_t reclaim_ms;  /* guaranteed work starts within this time */
-  cb_msec_t status_ms;   /* ended jobs are kept this long */
+  cb_msec_t hold_max_ms;  /* longest lease of a worker */
+  cb_msec_t stop_ms;      /* a stop takes at most this long */
+  cb_msec_t reclaim_ms;   /* guaranteed work starts within this time */
+  cb_msec_t status_ms;    /* ended jobs are kept this long */
   double remote_slowdown; /* of work spread over racks or away from its data */
 } cb_batch_params_t;
 
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -37,8 +37,8 @@
       }
 }
 
-/* EPOCH above 0: this process is the scheduler from now on; no worker is used before its
-   report. 0: it is not any more. What only a scheduler knows is forgotten. */
+/* EPOCH above 0: this process is the scheduler from now on; no worker is used before
+   its report. 0: it is not any more. What only a scheduler knows is forgotten. */
 void
 cb_batch_lead (cb_batch_t *b, uint64_t epoch, cb_msec_t now_ms)
 {
@@ -103,15 +103,15 @@
     cb_msg_set_string (&end->saved, saved);
   cb_msg_append ((void ***)&record->ends->ends, &record->ends->n_ends, end);
   cb_event (CB_LOG_INFO, "batch", "run_ended",
-            "job=%s task=%u.%u.%u run=%u how=%s worker=%s percent=%u after_ms=%" PRId64,
+            "job=%s task=%u.%u.%u run=%u how=%s worker=%s percent=%u",
             task->job->spec->id, task->occurrence, task->step, task->index, task->run,
             cb_enum_text (&cb__run_end__descriptor, (int)how), task->worker->id,
-            task->percent, (int64_t)0);
+            task->percent);
 }
 
 /* Queues a record that run RUN of TASK starts on W, which it uses from now on. */
 static void
-propose_start (cb_batch_t *b, task_t *task, uint32_t run, worker_t *w)
+propose_start (cb_batch_t *b, task_t *task, uint32_t run, worker_t *w, cb_msec_t now_ms)
 {
   Cb__BatchRecord *record = open_record (b, CB__BATCH_RECORD__BODY_STARTS);
   Cb__TaskStart *start = cb_msg_new (&cb__task_start__descriptor);
@@ -126,13 +126,14 @@
   cb_event (CB_LOG_INFO, "batch", "run_started",
             "job=%s task=%u.%u.%u run=%u worker=%s report_age_ms=%" PRId64,
             task->job->spec->id, task->occurrence, task->step, task->index, run, w->id,
-            w->report_ms);
+            now_ms - w->report_ms);
 }
 
 /* Starts COUNT tasks of one step, each on the worker at its position in WORKERS, as one
    record: all or none of them start. Members of a gang share the run number. */
 void
-start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count)
+start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count,
+             cb_msec_t now_ms)
 {
   uint32_t run = 0;
 
@@ -140,13 +141,12 @@
     run = MAX (run, tasks[i]->run);
   for (uint32_t i = 0; i < count; i++)
     propose_start (b, tasks[i],
-                   task_spec (tasks[i])->gang ? run + 1 : tasks[i]->run + 1,
-                   workers[i]);
+                   task_spec (tasks[i])->gang ? run + 1 : tasks[i]->run + 1, workers[i],
+                   now_ms);
 }
 
-/* Makes the worker end TASK's run; its end is logged when the worker reports it. */
-void
-stop_task (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why)
+static void
+stop_one (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why)
 {
   if (task->state != TASK_STARTED || task->stop || b->own_epoch == 0)
     return;
@@ -159,6 +159,22 @@
             task->worker->id, why, task->percent);
 }
 
+/* Makes the worker end TASK's run; its end is logged when the worker reports it. All
+   members of a gang are stopped at once, so that none waits for the others. */
+void
+stop_task (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why)
+{
+  step_state_t *step = task_step (task);
+
+  if (!task_spec (task)->gang)
+    {
+      stop_one (b, task, now_ms, why);
+      return;
+    }
+  for (uint32_t t = 0; t < step->count; t++)
+    stop_one (b, &step->tasks[t], now_ms, why);
+}
+
 static void
 end_all (cb_batch_t *b, worker_t *w)
 {
@@ -304,7 +320,8 @@
     }
 }
 
-/* Takes a report of the current epoch from AGENT. */
+/* Takes a report of the current epoch from AGENT. Lists that were already reported, of
+   a worker that does not answer any more, do not count as a sign of life. */
 void
 cb_batch_report (cb_batch_t *b, const char *agent, const Cb__WorkerReport *report,
                  cb_msec_t now_ms)
@@ -318,7 +335,7 @@
     return;
   replace_workers (b, agent, w);
   take_description (b, w, report);
-  if (report->clock_ms != 0 && report->clock_ms >= w->clock_ms)
+  if (report->clock_ms > w->clock_ms)
     {
       b->dirty = b->dirty || !w->listed;
       if (!w->listed)
@@ -378,6 +395,22 @@
     }
 }
 
+/* A gang of which a member did not start, or has ended, cannot become whole: the others
+   are stopped before they have waited in vain. */
+static void
+stop_broken_gangs (cb_batch_t *b, worker_t *w, cb_msec_t now_ms)
+{
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      task_t *task = w->tasks->pdata[i];
+      const step_state_t *step = task_step (task);
+
+      if (task->state == TASK_STARTED && task_spec (task)->gang &&
+          step->started < step->count)
+        stop_task (b, task, now_ms, "gang_broken");
+    }
+}
+
 static void
 stop_ended_jobs (cb_batch_t *b, cb_msec_t now_ms)
 {
@@ -420,6 +453,7 @@
     {
       check_lease (b, value, now_ms);
       save_before_leaving (b, value, now_ms);
+      stop_broken_gangs (b, value, now_ms);
     }
   g_hash_table_foreach_remove (b->workers, is_forgotten, NULL);
   stop_ended_jobs (b, now_ms);
--- a/batch/learn.c
+++ b/batch/learn.c
@@ -32,8 +32,8 @@
     w->failures_in_row++;
   if (w->failures_in_row >= AVOID_AFTER)
     w->avoid_until_ms =
-        now_ms + MIN (AVOID_CAP_MS, (cb_msec_t)AVOID_MS
-                                        << MIN (w->failures_in_row - AVOID_AFTER, 4));
+        now_ms + MIN (AVOID_CAP_MS,
+                      (cb_msec_t)AVOID_MS << MIN (w->failures_in_row - AVOID_AFTER, 4));
 }
 
 /* Takes note of the end of TASK's run: the run time for its queue, success or failure
@@ -53,10 +53,10 @@
   /* A resumed run says nothing of the whole time. */
   if (took_ms <= 0 || task->saved != NULL)
     return;
-  learned->mean_ms = learned->count == 0 ? (double)took_ms
-                                         : learned->mean_ms +
-                                               LEARN_RATE * ((double)took_ms -
-                                                             learned->mean_ms);
+  learned->mean_ms =
+      learned->count == 0
+          ? (double)took_ms
+          : learned->mean_ms + LEARN_RATE * ((double)took_ms - learned->mean_ms);
   learned->count++;
 }
 
--- a/batch/local.h
+++ b/batch/local.h
@@ -21,17 +21,17 @@
   task_state_t state;
   uint32_t run; /* latest */
   uint32_t failures;
-  char *saved; /* checkpoint, NULL: none */
-  worker_t *worker; /* of the latest run while STARTED */
+  char *saved;          /* checkpoint, NULL: none */
+  worker_t *worker;     /* of the latest run while STARTED */
   cb_msec_t started_ms; /* when the start was folded */
-  uint32_t at; /* position in worker->tasks */
+  uint32_t at;          /* position in worker->tasks */
   /* Of the scheduler only. */
   gboolean proposed_start; /* in a record that is not folded yet */
   gboolean proposed_end;
-  gboolean seen; /* a report showed the run */
-  gboolean stop; /* the run has to end */
+  gboolean seen;     /* a report showed the run */
+  gboolean stop;     /* the run has to end */
   cb_msec_t stop_ms; /* since when */
-  char *live_saved; /* newest checkpoint that a report showed, NULL: none */
+  char *live_saved;  /* newest checkpoint that a report showed, NULL: none */
   uint32_t percent;
   cb_msec_t percent_ms; /* when it last changed */
   /* Place. */
@@ -68,10 +68,10 @@
   occurrence_t *occurrences;
   gboolean canceled;
   gboolean failed;
-  gboolean started;       /* a task has started */
-  cb_msec_t folded_ms;    /* local clock */
+  gboolean started;        /* a task has started */
+  cb_msec_t folded_ms;     /* local clock */
   cb_msec_t ended_wall_ms; /* 0: open */
-  uint32_t open_runs;     /* tasks in TASK_STARTED */
+  uint32_t open_runs;      /* tasks in TASK_STARTED */
 };
 
 struct worker
@@ -81,7 +81,7 @@
   char *agent;
   char *service;
   char *zone;
-  char *rack;  /* second label; empty: unknown */
+  char *rack; /* second label; empty: unknown */
   char **labels;
   uint32_t cpu_milli; /* capacity */
   uint32_t memory_mb;
@@ -90,7 +90,7 @@
   /* Of the scheduler only. */
   gboolean listed; /* it has given its lists in this epoch */
   gboolean draining;
-  gboolean gone;   /* ended, or another one took its place */
+  gboolean gone;     /* ended, or another one took its place */
   uint64_t clock_ms; /* its own clock at the last report */
   cb_msec_t drain_left_ms;
   cb_msec_t report_ms;     /* when its last lists came */
@@ -133,8 +133,8 @@
 {
   cb_batch_params_t params;
   cb_batch_config_t *config;
-  GHashTable *jobs;  /* id -> job_t */
-  GQueue open;       /* of job_t without an end, in order of acceptance */
+  GHashTable *jobs;    /* id -> job_t */
+  GQueue open;         /* of job_t without an end, in order of acceptance */
   GHashTable *workers; /* id/born -> worker_t */
   GHashTable *agents;  /* name -> agent_t */
   GHashTable *learned; /* queue -> learned_t */
@@ -178,7 +178,8 @@
 
 /* lead.c */
 void propose_end (cb_batch_t *b, task_t *task, Cb__RunEnd how, const char *saved);
-void start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count);
+void start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count,
+                  cb_msec_t now_ms);
 void stop_task (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why);
 
 /* room.c */
@@ -193,8 +194,8 @@
 
 /* reclaim.c */
 gboolean account_guaranteed (const cb_batch_t *b, const job_t *job);
-void plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
-                   cb_msec_t now_ms);
+gboolean plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+                       gboolean guaranteed, cb_msec_t now_ms);
 
 /* place.c */
 void place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms);
--- a/batch/place.c
+++ b/batch/place.c
@@ -12,6 +12,7 @@
   uint32_t step;
   cb_msec_t latest_start_ms; /* to end within the objective */
   gboolean guaranteed;
+  gboolean late; /* cannot end within its objective any more */
 } demand_t;
 
 static cb_msec_t
@@ -31,13 +32,15 @@
     return y->guaranteed - x->guaranteed;
   if (x->job->spec->priority != y->job->spec->priority)
     return x->job->spec->priority < y->job->spec->priority ? -1 : 1;
+  if (x->late != y->late)
+    return x->late - y->late;
   if (x->latest_start_ms != y->latest_start_ms)
     return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
   return strcmp (x->job->spec->id, y->job->spec->id);
 }
 
 static GArray *
-list_demands (cb_batch_t *b, cb_msec_t wall_ms)
+list_demands (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   GArray *demands = g_array_new (FALSE, FALSE, sizeof (demand_t));
 
@@ -50,13 +53,14 @@
       for (uint32_t k = 0; k < job->n_occurrences; k++)
         for (uint32_t i = 0; i < job->spec->n_steps; i++)
           {
-            demand_t demand = { job, k, i, 0, FALSE };
+            demand_t demand = { job, k, i, 0, FALSE, FALSE };
 
             if (job->occurrences[k].steps[i].waiting == 0 ||
                 !step_ready (job, k, i, wall_ms))
               continue;
             demand.latest_start_ms =
                 job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
+            demand.late = now_ms > demand.latest_start_ms;
             demand.guaranteed = account_guaranteed (b, job);
             g_array_append_val (demands, demand);
           }
@@ -79,13 +83,14 @@
 }
 
 static void
-start_in_rooms (cb_batch_t *b, task_t **tasks, room_t **chosen, uint32_t count)
+start_in_rooms (cb_batch_t *b, task_t **tasks, room_t **chosen, uint32_t count,
+                cb_msec_t now_ms)
 {
   worker_t **workers = g_new (worker_t *, count);
 
   for (uint32_t i = 0; i < count; i++)
     workers[i] = chosen[i]->worker;
-  start_tasks (b, tasks, workers, count);
+  start_tasks (b, tasks, workers, count, now_ms);
   g_free (workers);
 }
 
@@ -128,7 +133,7 @@
     while (taken > 0)
       room_give (chosen[--taken], spec);
   else if (free_now)
-    start_in_rooms (b, tasks, chosen, count);
+    start_in_rooms (b, tasks, chosen, count, now_ms);
   if (!valid || free_now)
     g_clear_pointer (&step->plan, g_free);
   g_free (chosen);
@@ -136,7 +141,8 @@
 }
 
 static void
-place_singly (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count)
+place_singly (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+              cb_msec_t now_ms)
 {
   for (uint32_t i = 0; i < count; i++)
     {
@@ -144,14 +150,23 @@
 
       if (!fit_group (rooms, &tasks[i], 1, NULL, &chosen))
         return;
-      start_in_rooms (b, &tasks[i], &chosen, 1);
+      start_in_rooms (b, &tasks[i], &chosen, 1, now_ms);
     }
 }
 
+/* Urgent work does not wait for less urgent work; other work only when it would be late
+   otherwise. */
+static gboolean
+may_preempt (const demand_t *demand, cb_msec_t now_ms)
+{
+  return demand->job->spec->priority == 0 || now_ms >= demand->latest_start_ms;
+}
+
 static void
 place_step (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, cb_msec_t now_ms)
 {
-  step_state_t *step = &demand->job->occurrences[demand->occurrence].steps[demand->step];
+  step_state_t *step =
+      &demand->job->occurrences[demand->occurrence].steps[demand->step];
   const Cb__BatchStep *spec = demand->job->spec->steps[demand->step];
   uint32_t count;
   task_t **tasks = waiting_tasks (step, &count);
@@ -163,14 +178,16 @@
       return;
     }
   chosen = g_new0 (room_t *, count);
-  if (follow_plan (b, rooms, step, tasks, count, now_ms))
-    ;
-  else if (fit_step (rooms, tasks, count, chosen))
-    start_in_rooms (b, tasks, chosen, count);
-  else if (demand->guaranteed)
-    plan_reclaim (b, rooms, tasks, count, now_ms);
-  else if (!spec->gang)
-    place_singly (b, rooms, tasks, count);
+  if (!follow_plan (b, rooms, step, tasks, count, now_ms))
+    {
+      if (fit_step (rooms, tasks, count, chosen))
+        start_in_rooms (b, tasks, chosen, count, now_ms);
+      else if (may_preempt (demand, now_ms) &&
+               plan_reclaim (b, rooms, tasks, count, demand->guaranteed, now_ms))
+        follow_plan (b, rooms, step, tasks, count, now_ms);
+      else if (!spec->gang)
+        place_singly (b, rooms, tasks, count, now_ms);
+    }
   g_free (chosen);
   g_free (tasks);
 }
@@ -181,7 +198,7 @@
 place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   GPtrArray *rooms = rooms_new (b, now_ms);
-  GArray *demands = list_demands (b, wall_ms);
+  GArray *demands = list_demands (b, now_ms, wall_ms);
 
   for (guint i = 0; rooms->len > 0 && i < demands->len; i++)
     place_step (b, rooms, &g_array_index (demands, demand_t, i), now_ms);
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -2,9 +2,13 @@
 
 #include <string.h>
 
-/* Most workers in one deployment cell that a plan looks at is not limited; a plan that
-   could not be carried out in this time in ms, beyond two stops, is dropped. */
-#define PLAN_SLACK_MS 1500
+/* A run that can save its progress loses this much at a stop, in ms of its time. */
+#define RESTORE_COST_MS 200
+/* Without a guarantee, work may be stopped for a job only when what is lost is at most
+   this multiple of the job's own work. */
+#define LOSS_PER_WORK 0.5
+/* A run that ends within this time in ms beyond a stop's duration is not stopped. */
+#define ENDS_SOON_MS 150
 
 typedef struct
 {
@@ -56,38 +60,70 @@
          urgent_need (b, job) <= guarantee_of (b, job->spec->account);
 }
 
-/* Work that is lost when TASK is stopped now, in weighted core-ms since its last
-   checkpoint; an accelerator counts as 8 cores (as the platform counts it). */
+typedef struct
+{
+  const cb_batch_t *b;
+  const job_t *job; /* that the room is for */
+  gboolean guaranteed;
+  cb_msec_t now_ms;
+} claim_t;
+
+static double
+task_cores (const Cb__BatchStep *step)
+{
+  return step->cpu_milli / 1000.0 + 8.0 * step->accelerators;
+}
+
+/* Work that is lost when TASK is stopped now, in core-ms since its last checkpoint; an
+   accelerator counts as 8 cores (as the platform counts it). */
 static double
 stop_cost (const task_t *task, cb_msec_t now_ms)
 {
   const Cb__BatchStep *step = task_spec (task);
-  double cores = step->cpu_milli / 1000.0 + 8.0 * step->accelerators;
-  double lost_ms = step->saves ? 500 : (double)(now_ms - task->started_ms);
+  double cores = task_cores (step);
+  double lost_ms = step->saves ? RESTORE_COST_MS
+                               : RESTORE_COST_MS + (double)(now_ms - task->started_ms);
 
   if (step->gang)
     cores *= step->count;
-  return cores * (200 + lost_ms) / (1 + task->job->spec->priority);
+  return cores * lost_ms;
 }
 
+/* TRUE when TASK's run ends by itself before a stop would have ended it. */
 static gboolean
-is_victim (const cb_batch_t *b, const task_t *task)
+ends_soon (const claim_t *claim, const task_t *task)
 {
-  if (task->state != TASK_STARTED || task->stop || task->proposed_end)
-    return FALSE;
-  return task->job->spec->priority > 0 || !account_guaranteed (b, task->job);
+  return task->state == TASK_STARTED && task->percent > 0 &&
+         remaining_ms (claim->b, task, claim->now_ms) <
+             claim->b->params.stop_ms + ENDS_SOON_MS;
 }
 
-typedef struct
+/* TRUE when TASK's place is free within the time of a stop without one. */
+static gboolean
+is_leaving (const claim_t *claim, const task_t *task)
 {
-  const cb_batch_t *b;
-  cb_msec_t now_ms;
-} victim_order_t;
+  return task->stop || task->proposed_end || ends_soon (claim, task);
+}
+
+/* Less urgent work gives way; equally urgent work only to a guarantee when it has none
+   itself. */
+static gboolean
+is_victim (const claim_t *claim, const task_t *task)
+{
+  const job_t *other = task->job;
+
+  if (task->state != TASK_STARTED || is_leaving (claim, task) ||
+      task_spec (task)->daemon)
+    return FALSE;
+  if (other->spec->priority > claim->job->spec->priority)
+    return TRUE;
+  return claim->guaranteed && !account_guaranteed (claim->b, other);
+}
 
 static gint
 compare_cost (gconstpointer a, gconstpointer b, gpointer data)
 {
-  const victim_order_t *order = data;
+  const claim_t *order = data;
   double x = stop_cost (*(task_t *const *)a, order->now_ms);
   double y = stop_cost (*(task_t *const *)b, order->now_ms);
 
@@ -97,7 +133,7 @@
 /* Room on a worker if all victims there were stopped; what is being stopped already
    counts as free. */
 static room_t *
-room_with_victims (const cb_batch_t *b, const room_t *room)
+room_with_victims (const claim_t *claim, const room_t *room)
 {
   room_t *copy = g_memdup2 (room, sizeof *room);
   const worker_t *w = room->worker;
@@ -106,15 +142,16 @@
     {
       const task_t *task = w->tasks->pdata[i];
 
-      if (task->stop || task->proposed_end || is_victim (b, task))
+      if (is_leaving (claim, task) || is_victim (claim, task))
         room_give (copy, task_spec (task));
     }
   return copy;
 }
 
-/* Adds the cheapest victims on the worker of ROOM that make room for TAKEN times STEP. */
+/* Adds the cheapest victims on the worker of ROOM that make room for TAKEN times STEP.
+ */
 static void
-choose_victims (plan_t *plan, const victim_order_t *order, const room_t *room,
+choose_victims (plan_t *plan, const claim_t *order, const room_t *room,
                 const Cb__BatchStep *step, uint32_t taken)
 {
   const worker_t *w = room->worker;
@@ -129,9 +166,9 @@
     {
       task_t *task = w->tasks->pdata[i];
 
-      if (task->stop || task->proposed_end)
+      if (is_leaving (order, task))
         room_give (&left, task_spec (task));
-      else if (is_victim (order->b, task))
+      else if (is_victim (order, task))
         g_ptr_array_add (victims, task);
     }
   g_ptr_array_sort_with_data (victims, compare_cost, (gpointer)order);
@@ -148,15 +185,15 @@
 
 /* Finds the places in RACK (NULL: anywhere) and the victims to stop for them. */
 static plan_t *
-make_plan (const victim_order_t *order, GPtrArray *rooms, task_t **tasks,
-           uint32_t count, const char *rack, worker_t **places)
+make_plan (const claim_t *order, GPtrArray *rooms, task_t **tasks, uint32_t count,
+           const char *rack, worker_t **places)
 {
   GPtrArray *virtual = g_ptr_array_new_with_free_func (g_free);
   room_t **chosen = g_new0 (room_t *, count);
   plan_t *plan = NULL;
 
   for (guint i = 0; i < rooms->len; i++)
-    g_ptr_array_add (virtual, room_with_victims (order->b, rooms->pdata[i]));
+    g_ptr_array_add (virtual, room_with_victims (order, rooms->pdata[i]));
   if (fit_group (virtual, tasks, count, rack, chosen))
     {
       plan = g_new0 (plan_t, 1);
@@ -201,45 +238,72 @@
   return b;
 }
 
-/* Stops the cheapest work of other client accounts that has no claim to its place, so
-   that COUNT tasks of a guaranteed job can start, and keeps the places for them. */
-void
-plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
-              cb_msec_t now_ms)
+/* TRUE when what PLAN destroys is worth less than what it makes possible. */
+static gboolean
+is_worth_it (const claim_t *claim, const plan_t *plan, const Cb__BatchStep *step,
+             uint32_t count)
+{
+  double work =
+      task_cores (step) * count * (double)expected_ms (claim->b, claim->job->spec, 0);
+
+  return claim->guaranteed || plan->cost <= LOSS_PER_WORK * work;
+}
+
+static plan_t *
+best_plan (const claim_t *claim, GPtrArray *rooms, task_t **tasks, uint32_t count,
+           worker_t **places)
 {
-  const Cb__BatchStep *spec = task_spec (tasks[0]);
-  step_state_t *step = task_step (tasks[0]);
-  worker_t **places = g_new0 (worker_t *, count);
   worker_t **candidate = g_new0 (worker_t *, count);
-  victim_order_t order = { b, now_ms };
-  plan_t *best = NULL;
   GHashTable *tried = g_hash_table_new (g_str_hash, g_str_equal);
+  plan_t *best = NULL;
 
-  for (guint i = 0; spec->same_rack && i < rooms->len; i++)
+  for (guint i = 0; task_spec (tasks[0])->same_rack && count > 1 && i < rooms->len; i++)
     {
       const char *rack = ((room_t *)rooms->pdata[i])->worker->rack;
 
       if (g_hash_table_add (tried, (gpointer)rack))
-        best = better_plan (
-            best, make_plan (&order, rooms, tasks, count, rack, candidate), places,
-            candidate, count);
+        best =
+            better_plan (best, make_plan (claim, rooms, tasks, count, rack, candidate),
+                         places, candidate, count);
     }
   if (best == NULL)
-    best = make_plan (&order, rooms, tasks, count, NULL, places);
-  if (best != NULL)
+    best = make_plan (claim, rooms, tasks, count, NULL, places);
+  g_hash_table_unref (tried);
+  g_free (candidate);
+  return best;
+}
+
+/* Stops the cheapest work that has to give way to a job, so that COUNT of its tasks can
+   start, and keeps the places for them. GUARANTEED: the job has a claim to them.
+   Returns FALSE when there is no such work or it is worth more. */
+gboolean
+plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+              gboolean guaranteed, cb_msec_t now_ms)
+{
+  const Cb__BatchStep *spec = task_spec (tasks[0]);
+  step_state_t *step = task_step (tasks[0]);
+  worker_t **places = g_new0 (worker_t *, count);
+  claim_t claim = { b, tasks[0]->job, guaranteed, now_ms };
+  plan_t *plan = best_plan (&claim, rooms, tasks, count, places);
+
+  gboolean planned = plan != NULL && is_worth_it (&claim, plan, spec, count);
+
+  if (planned)
     {
       step->plan = g_new0 (worker_t *, step->count);
       for (uint32_t i = 0; i < count; i++)
         step->plan[tasks[i]->index] = places[i];
       step->plan_ms = now_ms;
       cb_event (CB_LOG_INFO, "batch", "reclaim",
-                "job=%s account=%s tasks=%u victims=%u cost=%.0f", tasks[0]->job->spec->id,
-                tasks[0]->job->spec->account, count, best->victims->len, best->cost);
-      for (guint i = 0; i < best->victims->len; i++)
-        stop_task (b, best->victims->pdata[i], now_ms, "reclaimed");
+                "job=%s account=%s priority=%u guaranteed=%d tasks=%u victims=%u "
+                "lost_core_ms=%.0f",
+                tasks[0]->job->spec->id, tasks[0]->job->spec->account,
+                tasks[0]->job->spec->priority, guaranteed, count, plan->victims->len,
+                plan->cost);
+      for (guint i = 0; i < plan->victims->len; i++)
+        stop_task (b, plan->victims->pdata[i], now_ms, "reclaimed");
     }
-  free_plan (best);
-  g_hash_table_unref (tried);
+  free_plan (plan);
   g_free (places);
-  g_free (candidate);
+  return planned;
 }
--- a/batch/state.c
+++ b/batch/state.c
@@ -146,8 +146,7 @@
   const occurrence_t *o = &job->occurrences[occurrence];
 
   if (job->spec->times > 0 &&
-      (uint64_t)wall_ms <
-          job->spec->start_at_ms + occurrence * job->spec->interval_ms)
+      (uint64_t)wall_ms < job->spec->start_at_ms + occurrence * job->spec->interval_ms)
     return FALSE;
   for (size_t i = 0; i < spec->n_after; i++)
     if (o->steps[spec->after[i]].done < o->steps[spec->after[i]].count)
@@ -241,9 +240,8 @@
           step->waiting = step->count;
           step->tasks = g_new0 (task_t, step->count);
           for (uint32_t t = 0; t < step->count; t++)
-            step->tasks[t] = (task_t){
-              .job = job, .occurrence = k, .step = i, .index = t
-            };
+            step->tasks[t] =
+                (task_t){ .job = job, .occurrence = k, .step = i, .index = t };
         }
     }
   g_hash_table_insert (b->jobs, job->spec->id, job);
@@ -327,8 +325,8 @@
   b->dirty = TRUE;
 }
 
-/* A claim is valid when it replaces the current epoch; its own epoch is the offset after
-   it, so that it is never 0. */
+/* A claim is valid when it replaces the current epoch; its own epoch is the offset
+   after it, so that it is never 0. */
 static void
 apply_claim (cb_batch_t *b, uint64_t offset, const Cb__BatchClaim *claim,
              cb_msec_t now_ms)
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -47,12 +47,12 @@
   cb_writer_t *writer;
   GHashTable *appends; /* tag -> append_t */
   uint64_t next_tag;
-  uint64_t next;         /* offset to read */
+  uint64_t next; /* offset to read */
   gboolean snapshot_read;
-  gboolean caught_up;    /* has read to the end at least once */
+  gboolean caught_up; /* has read to the end at least once */
   gboolean reading;
-  cb_msec_t read_ms;     /* when the last successful read was sent */
-  cb_msec_t healthy_ms;  /* since when reads have succeeded without a failure */
+  cb_msec_t read_ms;    /* when the last successful read was sent */
+  cb_msec_t healthy_ms; /* since when reads have succeeded without a failure */
   gboolean healthy;
   cb_timer_t *read_timer;
   uint64_t saved_next; /* of the newest own snapshot */
--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -32,7 +32,7 @@
   Cb__TaskRun *run;
   Cb__OrderedStart *start;
   call_state_t state;
-  gboolean tried;      /* a call was sent at least once */
+  gboolean tried;       /* a call was sent at least once */
   uint64_t answered_at; /* number of the newest hold when the answer came */
   cb_msec_t retry_ms;
 } order_t;
@@ -65,6 +65,7 @@
   uint64_t last_seen;
   GHashTable *orders; /* key -> order_t */
   gboolean holding;
+  gboolean unreachable; /* the last call to the worker failed */
   uint64_t hold_number;
   cb_msec_t hold_retry_ms;
   cb_msec_t term_ms;
@@ -174,8 +175,7 @@
   cb_msg_set_string (&envelope->from, agent->settings->name);
   envelope->epoch = agent->epoch;
   envelope->body_case = CB__ENVELOPE__BODY_WORKER_REPORT;
-  envelope->worker_report =
-      (Cb__WorkerReport *)cb_msg_copy (&agent->report->base);
+  envelope->worker_report = (Cb__WorkerReport *)cb_msg_copy (&agent->report->base);
   if (agent->lists_epoch != agent->epoch)
     envelope->worker_report->clock_ms = 0;
   if (cb_wire_send (agent->wire, agent->peer, envelope) < 0)
@@ -209,8 +209,9 @@
 {
   if (!has_worker (agent))
     return;
-  cb_event_always (CB_LOG_INFO, "agent", "worker_lost", "worker=%s born_ms=%" PRIu64 " why=%s",
-                   agent->report->worker, agent->report->born_ms, why);
+  cb_event_always (CB_LOG_INFO, "agent", "worker_lost",
+                   "worker=%s born_ms=%" PRIu64 " why=%s", agent->report->worker,
+                   agent->report->born_ms, why);
   cb_msg_free (agent->report);
   agent->report = cb_msg_new (&cb__worker_report__descriptor);
   agent->lease_until_ms = 0;
@@ -262,8 +263,11 @@
     }
   else if (err == CB_PLATFORM_REPLACED && current)
     forget_worker (agent, "replaced");
-  else if (err < 0)
-    cb_event (CB_LOG_WARN, "agent", "hold_failed", "worker=%s err=%d", hold->worker, err);
+  if ((err < 0) != agent->unreachable)
+    cb_event_always (CB_LOG_INFO, "agent",
+                     err < 0 ? "worker_unreachable" : "worker_reached",
+                     "worker=%s err=%d", hold->worker, err);
+  agent->unreachable = err < 0;
   agent->hold_retry_ms = err < 0 ? cb_batch_now () + RETRY_MS : 0;
   g_free (hold->worker);
   g_free (hold);
@@ -298,7 +302,8 @@
   agent->holding = TRUE;
   target = make_target (agent);
   cb_worker_hold (agent->loop, &target, agent->last_seen,
-                  agent->lists_epoch == agent->epoch ? HOLD_WAIT_MS : 0, on_lists, hold);
+                  agent->lists_epoch == agent->epoch ? HOLD_WAIT_MS : 0, on_lists,
+                  hold);
 }
 
 static void
@@ -322,7 +327,8 @@
   else if (err == CB_PLATFORM_FENCED)
     agent->fenced_epoch = MAX (agent->fenced_epoch, agent->epoch);
   if (err < 0)
-    cb_event_always (CB_LOG_WARN, "agent", order->is_stop ? "stop_failed" : "start_failed",
+    cb_event_always (CB_LOG_WARN, "agent",
+                     order->is_stop ? "stop_failed" : "start_failed",
                      "job=%s task=%u.%u.%u run=%u err=%d reason=%s", order->run->job,
                      order->run->occurrence, order->run->step, order->run->index,
                      order->run->run, err, reason == NULL ? "" : reason);
@@ -386,9 +392,8 @@
 add_order (agent_t *agent, GHashTable *wanted, const Cb__TaskRun *run,
            const Cb__OrderedStart *start)
 {
-  char *key =
-      g_strdup_printf ("%c%s.%u.%u.%u.%u", start == NULL ? '-' : '+', run->job,
-                       run->occurrence, run->step, run->index, run->run);
+  char *key = g_strdup_printf ("%c%s.%u.%u.%u.%u", start == NULL ? '-' : '+', run->job,
+                               run->occurrence, run->step, run->index, run->run);
   order_t *order = g_hash_table_lookup (agent->orders, key);
 
   g_hash_table_add (wanted, g_strdup (key));
@@ -402,8 +407,7 @@
   order->key = key;
   order->is_stop = start == NULL;
   order->run = (Cb__TaskRun *)cb_msg_copy (&run->base);
-  order->start =
-      start == NULL ? NULL : (Cb__OrderedStart *)cb_msg_copy (&start->base);
+  order->start = start == NULL ? NULL : (Cb__OrderedStart *)cb_msg_copy (&start->base);
   g_hash_table_insert (agent->orders, order->key, order);
 }
 
@@ -465,8 +469,8 @@
   hold_worker (agent);
 }
 
-/* Replaces the worker's description by a heartbeat's; the lists stay when it is the same
-   life of the same worker. */
+/* Replaces the worker's description by a heartbeat's; the lists stay when it is the
+   same life of the same worker. */
 static void
 take_heartbeat (agent_t *agent, const char *worker, Cb__WorkerReport *next,
                 const char *address)
--- a/cmd/batch_config.c
+++ b/cmd/batch_config.c
@@ -44,8 +44,8 @@
 }
 
 static void
-on_items (void *ctx, int err, const cb_store_item_t *items, size_t count,
-          gboolean more, uint64_t next)
+on_items (void *ctx, int err, const cb_store_item_t *items, size_t count, gboolean more,
+          uint64_t next)
 {
   read_t *read = ctx;
   cb_batch_entry_t *entry = read->entry;
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -97,8 +97,8 @@
   signal (SIGINT, on_signal);
   signal (SIGPIPE, SIG_IGN);
   signal (SIGHUP, SIG_IGN);
-  entry.identity = g_strdup_printf ("%s#%" PRId64, settings->name,
-                                    cb_clock_wall (entry.clock));
+  entry.identity =
+      g_strdup_printf ("%s#%" PRId64, settings->name, cb_clock_wall (entry.clock));
   entry.loop = cb_loop_new ();
   entry.counters = cb_counters_new ();
   entry.store = cb_store_new (entry.loop, settings->store_address);
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -6,7 +6,8 @@
 #define VIEW_AGE_MS 2500
 /* Longest time without the log before new work is refused at once. */
 #define LOG_SILENT_MS 2000
-/* An entry that has not read the log or the configuration for this long is not ready. */
+/* An entry that has not read the log or the configuration for this long is not ready.
+ */
 #define READY_AGE_MS 3000
 /* When a caller whose request met an outage should come back. */
 #define OUTAGE_RETRY_MS 1000
@@ -45,25 +46,35 @@
   g_free (body);
 }
 
+static void
+log_stored (cb_batch_entry_t *entry, const Cb__BatchRecord *record)
+{
+  const Cb__BatchJob *job = record->submit;
+
+  if (record->body_case == CB__BATCH_RECORD__BODY_CANCEL)
+    {
+      cb_counters_add (entry->counters, "jobs_canceled_total", NULL, 1);
+      cb_event (CB_LOG_INFO, "entry", "cancel_accepted", "job=%s", record->cancel->job);
+      return;
+    }
+  cb_counters_add (entry->counters, "jobs_accepted_total", NULL, 1);
+  cb_event (CB_LOG_INFO, "entry", "accepted",
+            "job=%s queue=%s account=%s priority=%u steps=%zu tasks=%u cpu_milli=%u "
+            "accelerators=%u gang=%d same_rack=%d saves=%d estimate_ms=%u",
+            job->id, job->queue, job->account, job->priority, job->n_steps,
+            job->steps[0]->count, job->steps[0]->cpu_milli, job->steps[0]->accelerators,
+            job->steps[0]->gang, job->steps[0]->same_rack, job->steps[0]->saves,
+            job->steps[0]->estimate_ms);
+}
+
 static void
 on_stored (cb_batch_entry_t *entry, void *ctx, int err, const Cb__BatchRecord *record)
 {
   cb_http_req_t *req = ctx;
-  const char *job = record->body_case == CB__BATCH_RECORD__BODY_SUBMIT
-                        ? record->submit->id
-                        : record->cancel->job;
 
   if (err == CB_OK)
     {
-      cb_event (CB_LOG_INFO, "entry",
-                record->body_case == CB__BATCH_RECORD__BODY_SUBMIT ? "accepted"
-                                                                   : "cancel_accepted",
-                "job=%s", job);
-      cb_counters_add (entry->counters,
-                       record->body_case == CB__BATCH_RECORD__BODY_SUBMIT
-                           ? "jobs_accepted_total"
-                           : "jobs_canceled_total",
-                       NULL, 1);
+      log_stored (entry, record);
       reply_json (req, 200, "{}");
     }
   else if (err == CB_LOGC_UNAVAILABLE)
@@ -199,8 +210,7 @@
       refuse (entry, req, 503, "no_config", OUTAGE_RETRY_MS);
       return;
     }
-  queue =
-      cb_batch_config_find (entry->config, cb_http_host (req), cb_http_path (req));
+  queue = cb_batch_config_find (entry->config, cb_http_host (req), cb_http_path (req));
   if (queue == NULL)
     {
       refuse (entry, req, 404, "no_such_queue", 0);
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -130,8 +130,9 @@
     }
   if (now_ms - MAX (link->heard_ms, link->connected_ms) > LINK_SILENCE_MS)
     {
-      cb_event (CB_LOG_WARN, "entry", "agent_silent", "agent=%s address=%s since_ms=%" PRId64,
-                name, address, now_ms - link->heard_ms);
+      cb_event (CB_LOG_WARN, "entry", "agent_silent",
+                "agent=%s address=%s since_ms=%" PRId64, name, address,
+                now_ms - link->heard_ms);
       connect_link (entry, link, now_ms);
     }
   else if (link->wire != NULL && (cb_batch_orders_changed (entry->batch, name) ||
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -42,7 +42,7 @@
     return;
   g_hash_table_steal (entry->appends, GSIZE_TO_POINTER (tag));
   cb_counters_add (entry->counters, "store_appends_total",
-                   err == CB_OK ? "result=\"stored\""
+                   err == CB_OK                 ? "result=\"stored\""
                    : err == CB_LOGC_UNAVAILABLE ? "result=\"unknown\""
                                                 : "result=\"not_stored\"",
                    1);
@@ -195,9 +195,8 @@
 cb_batch_log_open (cb_batch_entry_t *entry)
 {
   entry->appends = g_hash_table_new_full (NULL, NULL, NULL, free_append);
-  entry->writer =
-      cb_writer_new (cb_store_log (entry->store), CB_BATCH_STREAM, entry->identity, 0,
-                     CB_GIVE_UP_MS, on_stored, entry);
+  entry->writer = cb_writer_new (cb_store_log (entry->store), CB_BATCH_STREAM,
+                                 entry->identity, 0, CB_GIVE_UP_MS, on_stored, entry);
   read_on (entry);
 }
 
--- a/cmd/batch_save.c
+++ b/cmd/batch_save.c
@@ -90,14 +90,12 @@
 void
 cb_batch_save_tick (cb_batch_entry_t *entry, cb_msec_t now_ms)
 {
-  cb_msec_t every_ms =
-      (cb_msec_t)(entry->settings->keep_s * 1000 / RETENTION_SHARE);
+  cb_msec_t every_ms = (cb_msec_t)(entry->settings->keep_s * 1000 / RETENTION_SHARE);
   Cb__BatchSnapshot *snapshot;
   save_t *save;
 
   if (entry->own_epoch == 0 || entry->saving || !entry->healthy ||
-      entry->next == entry->saved_next ||
-      entry->next % 2 == entry->saved_next % 2)
+      entry->next == entry->saved_next || entry->next % 2 == entry->saved_next % 2)
     return;
   if (entry->next - entry->saved_next < SAVE_RECORDS &&
       (every_ms == 0 || now_ms - entry->saved_ms < every_ms))
@@ -143,8 +141,7 @@
   entry->batch = cb_batch_new (&params);
   if (entry->config != NULL)
     cb_batch_set_config (entry->batch, entry->config);
-  cb_batch_load (entry->batch, snapshot, cb_batch_now (),
-                 cb_clock_wall (entry->clock));
+  cb_batch_load (entry->batch, snapshot, cb_batch_now (), cb_clock_wall (entry->clock));
   entry->next = snapshot->next;
   cb_event_always (CB_LOG_INFO, "entry", "snapshot_read",
                    "next=%" PRIu64 " jobs=%zu bytes=%u", snapshot->next,
@@ -158,9 +155,9 @@
 {
   GBytes *head = g_hash_table_lookup (load->items, HEAD);
   GByteArray *bytes = g_byte_array_new ();
-  char *text = head == NULL ? NULL
-                            : g_strndup (g_bytes_get_data (head, NULL),
-                                         g_bytes_get_size (head));
+  char *text = head == NULL
+                   ? NULL
+                   : g_strndup (g_bytes_get_data (head, NULL), g_bytes_get_size (head));
   char slot = 0;
   uint32_t chunks = 0;
   size_t size = 0;
@@ -195,8 +192,8 @@
 }
 
 static void
-on_items (void *ctx, int err, const cb_store_item_t *items, size_t count,
-          gboolean more, uint64_t next)
+on_items (void *ctx, int err, const cb_store_item_t *items, size_t count, gboolean more,
+          uint64_t next)
 {
   load_t *load = ctx;
 
--- a/net/client.c
+++ b/net/client.c
@@ -252,9 +252,9 @@
     }
   call->timer = cb_timer_new (loop, spec->timeout_ms, 0, on_timeout, call);
   if (spec->keep_alive)
-    h2o_http1client_connect_with_pool (
-        &call->client, call, &call->ctx,
-        find_pool (loop, spec->address, parsed, port), on_connect);
+    h2o_http1client_connect_with_pool (&call->client, call, &call->ctx,
+                                       find_pool (loop, spec->address, parsed, port),
+                                       on_connect);
   else
     h2o_http1client_connect (&call->client, call, &call->ctx,
                              h2o_iovec_init (host, strlen (host)), port, 0, on_connect);
