--- a/batch/learn.c
+++ b/batch/learn.c
@@ -87,7 +87,7 @@
 }
 
 /* Returns the longest chain of expected times along the job's steps in ms, of the work
-   that is not done yet. */
+   that is not done yet; a wide step counts once for each of its waves. */
 cb_msec_t
 chain_ms (const cb_batch_t *b, const job_t *job)
 {
@@ -103,7 +103,7 @@
       for (size_t k = 0; k < spec->steps[i]->n_after; k++)
         longest[i] = MAX (longest[i], longest[spec->steps[i]->after[k]]);
       if (step->done < step->count)
-        longest[i] += expected_ms (b, spec, i);
+        longest[i] += expected_ms (b, spec, i) * MAX (1, step->waves);
       result = MAX (result, longest[i]);
     }
   g_free (longest);
--- a/batch/local.h
+++ b/batch/local.h
@@ -53,6 +53,7 @@
   /* Places that are being emptied for the step's tasks, NULL: none. */
   worker_t **plan;
   cb_msec_t plan_ms;
+  uint32_t waves; /* rounds that its tasks take in its share of the fleet; 0: unknown */
 } step_state_t;
 
 typedef struct
@@ -112,6 +113,7 @@
   int64_t cpu_milli;
   int64_t memory_mb;
   int64_t accelerators;
+  gboolean kept; /* for urgent work that may come */
 } room_t;
 
 typedef struct
@@ -143,10 +145,12 @@
   gboolean resigned;
   cb_msec_t scheduler_seen_ms;
   /* Of the scheduler only. */
-  uint64_t own_epoch; /* 0: not the scheduler */
-  cb_msec_t lead_ms;  /* since when */
-  GQueue records;     /* of Cb__BatchRecord, to be appended */
-  gboolean dirty;     /* something changed that placement depends on */
+  uint64_t own_epoch;  /* 0: not the scheduler */
+  cb_msec_t lead_ms;   /* since when */
+  GQueue records;      /* of Cb__BatchRecord, to be appended */
+  double urgent_peak;  /* accelerators in use or wanted by urgent work, decayed */
+  cb_msec_t urgent_ms; /* when it was updated */
+  gboolean dirty;      /* something changed that placement depends on */
   cb_msec_t placed_ms;
 };
 
@@ -185,12 +189,15 @@
 /* room.c */
 GPtrArray *rooms_new (cb_batch_t *b, cb_msec_t now_ms);
 gboolean room_fits (const room_t *room, const Cb__BatchStep *step);
+uint32_t room_waves (const GPtrArray *rooms, const Cb__BatchStep *step);
+void rooms_keep (cb_batch_t *b, GPtrArray *rooms, cb_msec_t now_ms);
 void room_take (room_t *room, const Cb__BatchStep *step);
 void room_give (room_t *room, const Cb__BatchStep *step);
 gboolean room_allows (const room_t *room, const task_t *task);
 gboolean fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
-                    room_t **chosen);
-gboolean fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, room_t **chosen);
+                    gboolean use_kept, room_t **chosen);
+gboolean fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, gboolean use_kept,
+                   room_t **chosen);
 
 /* reclaim.c */
 gboolean account_guaranteed (const cb_batch_t *b, const job_t *job);
--- a/batch/place.c
+++ b/batch/place.c
@@ -4,6 +4,8 @@
 
 /* A plan that could not be carried out within two stops and this long is dropped. */
 #define PLAN_SLACK_MS 1500
+/* Work that has to start within this time in ms to be in time uses every room. */
+#define AT_RISK_MS 3000
 
 typedef struct
 {
@@ -22,6 +24,14 @@
          job->spec->slack_ms;
 }
 
+/* Work that can be in time goes before work of the next higher priority that is late
+   already. */
+static uint32_t
+rank (const demand_t *demand)
+{
+  return 2 * demand->job->spec->priority + (demand->late ? 1 : 0);
+}
+
 static int
 compare_demands (const void *a, const void *b)
 {
@@ -30,17 +40,16 @@
 
   if (x->guaranteed != y->guaranteed)
     return y->guaranteed - x->guaranteed;
-  if (x->job->spec->priority != y->job->spec->priority)
-    return x->job->spec->priority < y->job->spec->priority ? -1 : 1;
-  if (x->late != y->late)
-    return x->late - y->late;
+  if (rank (x) != rank (y))
+    return rank (x) < rank (y) ? -1 : 1;
   if (x->latest_start_ms != y->latest_start_ms)
     return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
   return strcmp (x->job->spec->id, y->job->spec->id);
 }
 
 static GArray *
-list_demands (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
+list_demands (cb_batch_t *b, const GPtrArray *rooms, cb_msec_t now_ms,
+              cb_msec_t wall_ms)
 {
   GArray *demands = g_array_new (FALSE, FALSE, sizeof (demand_t));
 
@@ -58,6 +67,9 @@
             if (job->occurrences[k].steps[i].waiting == 0 ||
                 !step_ready (job, k, i, wall_ms))
               continue;
+            if (job->occurrences[k].steps[i].waves == 0)
+              job->occurrences[k].steps[i].waves =
+                  room_waves (rooms, job->spec->steps[i]);
             demand.latest_start_ms =
                 job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
             demand.late = now_ms > demand.latest_start_ms;
@@ -142,13 +154,13 @@
 
 static void
 place_singly (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
-              cb_msec_t now_ms)
+              gboolean use_kept, cb_msec_t now_ms)
 {
   for (uint32_t i = 0; i < count; i++)
     {
       room_t *chosen;
 
-      if (!fit_group (rooms, &tasks[i], 1, NULL, &chosen))
+      if (!fit_group (rooms, &tasks[i], 1, NULL, use_kept, &chosen))
         return;
       start_in_rooms (b, &tasks[i], &chosen, 1, now_ms);
     }
@@ -170,6 +182,8 @@
   const Cb__BatchStep *spec = demand->job->spec->steps[demand->step];
   uint32_t count;
   task_t **tasks = waiting_tasks (step, &count);
+  gboolean use_kept =
+      demand->job->spec->priority == 0 || now_ms > demand->latest_start_ms - AT_RISK_MS;
   room_t **chosen;
 
   if (count == 0 || (spec->gang && count < step->count))
@@ -180,13 +194,13 @@
   chosen = g_new0 (room_t *, count);
   if (!follow_plan (b, rooms, step, tasks, count, now_ms))
     {
-      if (fit_step (rooms, tasks, count, chosen))
+      if (fit_step (rooms, tasks, count, use_kept, chosen))
         start_in_rooms (b, tasks, chosen, count, now_ms);
       else if (may_preempt (demand, now_ms) &&
                plan_reclaim (b, rooms, tasks, count, demand->guaranteed, now_ms))
         follow_plan (b, rooms, step, tasks, count, now_ms);
       else if (!spec->gang)
-        place_singly (b, rooms, tasks, count, now_ms);
+        place_singly (b, rooms, tasks, count, use_kept, now_ms);
     }
   g_free (chosen);
   g_free (tasks);
@@ -198,7 +212,9 @@
 place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   GPtrArray *rooms = rooms_new (b, now_ms);
-  GArray *demands = list_demands (b, now_ms, wall_ms);
+  GArray *demands = list_demands (b, rooms, now_ms, wall_ms);
+
+  rooms_keep (b, rooms, now_ms);
 
   for (guint i = 0; rooms->len > 0 && i < demands->len; i++)
     place_step (b, rooms, &g_array_index (demands, demand_t, i), now_ms);
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -194,7 +194,7 @@
 
   for (guint i = 0; i < rooms->len; i++)
     g_ptr_array_add (virtual, room_with_victims (order, rooms->pdata[i]));
-  if (fit_group (virtual, tasks, count, rack, chosen))
+  if (fit_group (virtual, tasks, count, rack, TRUE, chosen))
     {
       plan = g_new0 (plan_t, 1);
       plan->victims = g_ptr_array_new ();
--- a/batch/room.c
+++ b/batch/room.c
@@ -5,6 +5,16 @@
 /* A worker without a report for this long gets no new work; reports come twice a
    second. */
 #define REPORT_FRESH_MS 1600
+/* A step that is wider than one in STEP_SHARE of the fleet runs in waves; the platform
+   counts its objective so. */
+#define STEP_SHARE 4
+/* Time in ms after which the peak of urgent work counts half. */
+#define PEAK_HALF_MS 8000
+/* The peak decays in steps of this many ms, by this factor: half in PEAK_HALF_MS. */
+#define PEAK_STEP_MS 250
+#define PEAK_DECAY 0.97857
+/* Part of the peak that is kept. */
+#define KEEP_SHARE 0.0
 
 static room_t *
 room_new (worker_t *w)
@@ -51,6 +61,71 @@
   return rooms;
 }
 
+/* Accelerators that urgent work uses, or waits for. */
+static double
+urgent_demand (const cb_batch_t *b)
+{
+  double demand = 0;
+
+  for (const GList *l = b->open.head; l != NULL; l = l->next)
+    {
+      const job_t *job = l->data;
+
+      if (job->spec->priority != 0 || !job_open (job))
+        continue;
+      for (size_t i = 0; i < job->spec->n_steps; i++)
+        {
+          const step_state_t *step = &job->occurrences[0].steps[i];
+
+          demand += (double)(step->count - step->done) *
+                    job->spec->steps[i]->accelerators / MAX (1, step->waves);
+        }
+    }
+  return demand;
+}
+
+static gint
+compare_free (gconstpointer a, gconstpointer b)
+{
+  const room_t *x = *(room_t *const *)a;
+  const room_t *y = *(room_t *const *)b;
+
+  if (x->accelerators != y->accelerators)
+    return x->accelerators > y->accelerators ? -1 : 1;
+  return strcmp (x->worker->id, y->worker->id);
+}
+
+/* Keeps the emptiest workers for urgent work, as many accelerators as its recent peak
+   exceeds its present use. It comes in bursts, starts at once or is late, and often
+   needs whole workers; other work has time to wait. */
+void
+rooms_keep (cb_batch_t *b, GPtrArray *rooms, cb_msec_t now_ms)
+{
+  double demand = urgent_demand (b);
+  double missing;
+  GPtrArray *order = g_ptr_array_new ();
+
+  for (; b->urgent_ms + PEAK_STEP_MS <= now_ms; b->urgent_ms += PEAK_STEP_MS)
+    {
+      if (now_ms - b->urgent_ms > PEAK_HALF_MS * 8)
+        b->urgent_ms = now_ms - PEAK_HALF_MS;
+      b->urgent_peak *= PEAK_DECAY;
+    }
+  b->urgent_peak = MAX (b->urgent_peak, demand);
+  missing = b->urgent_peak * KEEP_SHARE - demand;
+  for (guint i = 0; i < rooms->len; i++)
+    g_ptr_array_add (order, rooms->pdata[i]);
+  g_ptr_array_sort (order, compare_free);
+  for (guint i = 0; i < order->len && missing > 0; i++)
+    {
+      room_t *room = order->pdata[i];
+
+      room->kept = TRUE;
+      missing -= (double)MAX (0, room->accelerators);
+    }
+  g_ptr_array_free (order, TRUE);
+}
+
 gboolean
 room_fits (const room_t *room, const Cb__BatchStep *step)
 {
@@ -123,8 +198,8 @@
 }
 
 static room_t *
-best_room (GPtrArray *rooms, const task_t *task, const char *rack, room_t **chosen,
-           uint32_t n_chosen)
+best_room (GPtrArray *rooms, const task_t *task, const char *rack, gboolean use_kept,
+           room_t **chosen, uint32_t n_chosen)
 {
   const Cb__BatchStep *step = task_spec (task);
   room_t *best = NULL;
@@ -136,6 +211,8 @@
       uint32_t same = 0;
       double score;
 
+      if (room->kept && !use_kept)
+        continue;
       if ((rack != NULL && strcmp (room->worker->rack, rack) != 0) ||
           !room_fits (room, step) || !room_allows (room, task))
         continue;
@@ -156,16 +233,17 @@
 }
 
 /* Chooses a room for each of COUNT tasks of one step, in RACK unless it is NULL, and
-   takes it. When not all fit, FALSE is returned and nothing is taken. */
+   takes it; kept rooms only with USE_KEPT. When not all fit, FALSE is returned and
+   nothing is taken. */
 gboolean
 fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
-           room_t **chosen)
+           gboolean use_kept, room_t **chosen)
 {
   const Cb__BatchStep *step = task_spec (tasks[0]);
 
   for (uint32_t i = 0; i < count; i++)
     {
-      chosen[i] = best_room (rooms, tasks[i], rack, chosen, i);
+      chosen[i] = best_room (rooms, tasks[i], rack, use_kept, chosen, i);
       if (chosen[i] != NULL)
         {
           room_take (chosen[i], step);
@@ -178,37 +256,57 @@
   return TRUE;
 }
 
-/* TRUE when an empty rack of this name could hold COUNT tasks of STEP. */
-static gboolean
-rack_could_hold (const GPtrArray *rooms, const char *rack, const Cb__BatchStep *step,
-                 uint32_t count)
+/* Returns how many tasks of STEP, at most LIMIT, an empty worker holds. */
+static uint64_t
+worker_holds (const worker_t *w, const Cb__BatchStep *step, uint64_t limit)
+{
+  uint64_t holds = limit;
+
+  if (step->cpu_milli > 0)
+    holds = MIN (holds, w->cpu_milli / step->cpu_milli);
+  if (step->memory_mb > 0)
+    holds = MIN (holds, w->memory_mb / step->memory_mb);
+  if (step->accelerators > 0)
+    holds = MIN (holds, w->accelerators / step->accelerators);
+  if (step->per_worker_max > 0)
+    holds = MIN (holds, step->per_worker_max);
+  return holds;
+}
+
+/* Returns how many of COUNT tasks of STEP the workers of RACK (NULL: all) would hold if
+   they were empty. */
+static uint64_t
+rooms_hold (const GPtrArray *rooms, const char *rack, const Cb__BatchStep *step)
 {
-  uint64_t most = 0;
+  uint64_t holds = 0;
 
   for (guint i = 0; i < rooms->len; i++)
     {
       const worker_t *w = ((room_t *)rooms->pdata[i])->worker;
-      uint64_t here = count;
 
-      if (strcmp (w->rack, rack) != 0)
-        continue;
-      if (step->cpu_milli > 0)
-        here = MIN (here, w->cpu_milli / step->cpu_milli);
-      if (step->memory_mb > 0)
-        here = MIN (here, w->memory_mb / step->memory_mb);
-      if (step->accelerators > 0)
-        here = MIN (here, w->accelerators / step->accelerators);
-      if (step->per_worker_max > 0)
-        here = MIN (here, step->per_worker_max);
-      most += here;
+      if (rack == NULL || strcmp (w->rack, rack) == 0)
+        holds += worker_holds (w, step, step->count);
     }
-  return most >= count;
+  return holds;
+}
+
+/* Returns the rounds that a step takes in the share of the fleet that one step can
+   expect. */
+uint32_t
+room_waves (const GPtrArray *rooms, const Cb__BatchStep *step)
+{
+  double share = (double)rooms_hold (rooms, NULL, step) / STEP_SHARE;
+
+  if (share < 1)
+    share = 1;
+  return MAX (1, (uint32_t)((step->count + share - 1) / share));
 }
 
 /* As fit_group, for a step whose tasks may have to share a rack. They are spread over
    racks only when no rack could hold them even if it were empty. */
 gboolean
-fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, room_t **chosen)
+fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, gboolean use_kept,
+          room_t **chosen)
 {
   const Cb__BatchStep *step = task_spec (tasks[0]);
   GHashTable *tried;
@@ -216,7 +314,7 @@
   gboolean found = FALSE;
 
   if (!step->same_rack || count < 2)
-    return fit_group (rooms, tasks, count, NULL, chosen);
+    return fit_group (rooms, tasks, count, NULL, use_kept, chosen);
   tried = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < rooms->len && !found; i++)
     {
@@ -224,9 +322,10 @@
 
       if (!g_hash_table_add (tried, (gpointer)rack))
         continue;
-      possible = possible || rack_could_hold (rooms, rack, step, count);
-      found = fit_group (rooms, tasks, count, rack, chosen);
+      possible = possible || rooms_hold (rooms, rack, step) >= count;
+      found = fit_group (rooms, tasks, count, rack, use_kept, chosen);
     }
   g_hash_table_unref (tried);
-  return found || (!possible && fit_group (rooms, tasks, count, NULL, chosen));
+  return found ||
+         (!possible && fit_group (rooms, tasks, count, NULL, use_kept, chosen));
 }
