Choose the cheapest work to stop, task by task

Places are now taken by what stopping there costs, tasks without a gang one by one, a wide step one wave at a time.

--- a/batch/lead.c
+++ b/batch/lead.c
@@ -21,6 +21,7 @@
   task->proposed_end = FALSE;
   task->seen = FALSE;
   task->stop = FALSE;
+  task->planned = NULL;
 }
 
 static void
@@ -31,7 +32,6 @@
       {
         step_state_t *step = &job->occurrences[k].steps[i];
 
-        g_clear_pointer (&step->plan, g_free);
         for (uint32_t t = 0; t < step->count; t++)
           reset_task (&step->tasks[t]);
       }
--- a/batch/local.h
+++ b/batch/local.h
@@ -33,7 +33,9 @@
   cb_msec_t stop_ms; /* since when */
   char *live_saved;  /* newest checkpoint that a report showed, NULL: none */
   uint32_t percent;
-  cb_msec_t percent_ms; /* when it last changed */
+  cb_msec_t percent_ms;    /* when it last changed */
+  const worker_t *planned; /* is being emptied for the task; only to be compared */
+  cb_msec_t planned_ms;
   /* Place. */
   job_t *job;
   uint32_t occurrence;
@@ -50,9 +52,6 @@
   uint32_t done;
   uint32_t gang_failures;
   uint32_t gang_failed_run;
-  /* Places that are being emptied for the step's tasks, NULL: none. */
-  worker_t **plan;
-  cb_msec_t plan_ms;
   uint32_t waves; /* rounds that its tasks take in its share of the fleet; 0: unknown */
 } step_state_t;
 
--- a/batch/place.c
+++ b/batch/place.c
@@ -7,14 +7,16 @@
 /* Work that has to start within this time in ms to be in time uses every room. */
 #define AT_RISK_MS 3000
 
+/* A step with waiting tasks whose turn has come. */
 typedef struct
 {
   job_t *job;
   uint32_t occurrence;
   uint32_t step;
   cb_msec_t latest_start_ms; /* to end within the objective */
-  gboolean guaranteed;
-  gboolean late; /* cannot end within its objective any more */
+  gboolean guaranteed;       /* covered by its account's guarantee */
+  gboolean late;             /* cannot end within its objective any more */
+  gboolean use_kept;
 } demand_t;
 
 static cb_msec_t
@@ -24,14 +26,6 @@
          job->spec->slack_ms;
 }
 
-/* Work that can be in time goes before work of the next higher priority that is late
-   already. */
-static uint32_t
-rank (const demand_t *demand)
-{
-  return 2 * demand->job->spec->priority + (demand->late ? 1 : 0);
-}
-
 static int
 compare_demands (const void *a, const void *b)
 {
@@ -40,13 +34,46 @@
 
   if (x->guaranteed != y->guaranteed)
     return y->guaranteed - x->guaranteed;
-  if (rank (x) != rank (y))
-    return rank (x) < rank (y) ? -1 : 1;
+  if (x->job->spec->priority != y->job->spec->priority)
+    return x->job->spec->priority < y->job->spec->priority ? -1 : 1;
+  if (x->late != y->late)
+    return x->late - y->late;
   if (x->latest_start_ms != y->latest_start_ms)
     return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
   return strcmp (x->job->spec->id, y->job->spec->id);
 }
 
+static void
+add_demand (cb_batch_t *b, GArray *demands, demand_t demand, cb_msec_t now_ms)
+{
+  job_t *job = demand.job;
+
+  demand.latest_start_ms = job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
+  demand.late = now_ms > demand.latest_start_ms;
+  demand.use_kept =
+      job->spec->priority == 0 || now_ms > demand.latest_start_ms - AT_RISK_MS;
+  demand.guaranteed = account_guaranteed (b, job);
+  g_array_append_val (demands, demand);
+}
+
+static void
+add_demands_of (cb_batch_t *b, GArray *demands, job_t *job, const GPtrArray *rooms,
+                cb_msec_t now_ms, cb_msec_t wall_ms)
+{
+  for (uint32_t k = 0; k < job->n_occurrences; k++)
+    for (uint32_t i = 0; i < job->spec->n_steps; i++)
+      {
+        step_state_t *step = &job->occurrences[k].steps[i];
+        demand_t demand = { .job = job, .occurrence = k, .step = i };
+
+        if (step->waiting == 0 || !step_ready (job, k, i, wall_ms))
+          continue;
+        if (step->waves == 0)
+          step->waves = room_waves (rooms, job->spec->steps[i]);
+        add_demand (b, demands, demand, now_ms);
+      }
+}
+
 static GArray *
 list_demands (cb_batch_t *b, const GPtrArray *rooms, cb_msec_t now_ms,
               cb_msec_t wall_ms)
@@ -54,29 +81,8 @@
   GArray *demands = g_array_new (FALSE, FALSE, sizeof (demand_t));
 
   for (GList *l = b->open.head; l != NULL; l = l->next)
-    {
-      job_t *job = l->data;
-
-      if (!job_open (job))
-        continue;
-      for (uint32_t k = 0; k < job->n_occurrences; k++)
-        for (uint32_t i = 0; i < job->spec->n_steps; i++)
-          {
-            demand_t demand = { job, k, i, 0, FALSE, FALSE };
-
-            if (job->occurrences[k].steps[i].waiting == 0 ||
-                !step_ready (job, k, i, wall_ms))
-              continue;
-            if (job->occurrences[k].steps[i].waves == 0)
-              job->occurrences[k].steps[i].waves =
-                  room_waves (rooms, job->spec->steps[i]);
-            demand.latest_start_ms =
-                job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
-            demand.late = now_ms > demand.latest_start_ms;
-            demand.guaranteed = account_guaranteed (b, job);
-            g_array_append_val (demands, demand);
-          }
-    }
+    if (job_open (l->data))
+      add_demands_of (b, demands, l->data, rooms, now_ms, wall_ms);
   qsort (demands->data, demands->len, sizeof (demand_t), compare_demands);
   return demands;
 }
@@ -115,63 +121,100 @@
   return NULL;
 }
 
-/* Starts a planned step when its places are free, otherwise keeps them for it. Returns
+/* Returns the room that is being emptied for TASK, or NULL when there is no plan, or it
+   could not be carried out in time. */
+static room_t *
+planned_room (const cb_batch_t *b, GPtrArray *rooms, task_t *task, cb_msec_t now_ms)
+{
+  room_t *room = NULL;
+
+  if (task->planned != NULL &&
+      now_ms - task->planned_ms < 2 * b->params.stop_ms + PLAN_SLACK_MS)
+    room = room_of (rooms, task->planned);
+  if (room == NULL)
+    task->planned = NULL;
+  return room;
+}
+
+/* Starts a planned gang when its places are free, otherwise keeps them for it. Returns
    FALSE when there is no plan or it cannot be carried out any more. */
 static gboolean
-follow_plan (cb_batch_t *b, GPtrArray *rooms, step_state_t *step, task_t **tasks,
-             uint32_t count, cb_msec_t now_ms)
+follow_plan (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+             cb_msec_t now_ms)
 {
-  const Cb__BatchStep *spec;
-  room_t **chosen;
+  const Cb__BatchStep *spec = task_spec (tasks[0]);
+  room_t **chosen = g_new0 (room_t *, count);
   uint32_t taken = 0;
   gboolean free_now = TRUE;
-  gboolean valid;
+  gboolean valid = TRUE;
 
-  if (step->plan == NULL)
-    return FALSE;
-  spec = task_spec (tasks[0]);
-  chosen = g_new0 (room_t *, count);
-  valid = now_ms - step->plan_ms < 2 * b->params.stop_ms + PLAN_SLACK_MS;
+  for (uint32_t i = 0; i < count && valid; i++)
+    {
+      chosen[i] = planned_room (b, rooms, tasks[i], now_ms);
+      valid = chosen[i] != NULL;
+    }
   for (; valid && taken < count; taken++)
     {
-      chosen[taken] = room_of (rooms, step->plan[tasks[taken]->index]);
-      valid = chosen[taken] != NULL;
-      if (!valid)
-        break;
       free_now = free_now && room_fits (chosen[taken], spec);
       room_take (chosen[taken], spec);
     }
-  if (!valid)
-    while (taken > 0)
-      room_give (chosen[--taken], spec);
-  else if (free_now)
+  if (valid && free_now)
     start_in_rooms (b, tasks, chosen, count, now_ms);
-  if (!valid || free_now)
-    g_clear_pointer (&step->plan, g_free);
+  for (uint32_t i = 0; i < count && (!valid || free_now); i++)
+    tasks[i]->planned = NULL;
   g_free (chosen);
   return valid;
 }
 
+/* Urgent work does not wait for less urgent work; other work only when it would be late
+   otherwise. */
+static gboolean
+may_preempt (const demand_t *demand, cb_msec_t now_ms)
+{
+  return demand->job->spec->priority == 0 || now_ms >= demand->latest_start_ms;
+}
+
 static void
-place_singly (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
-              gboolean use_kept, cb_msec_t now_ms)
+place_gang (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, task_t **tasks,
+            uint32_t count, cb_msec_t now_ms)
 {
-  for (uint32_t i = 0; i < count; i++)
-    {
-      room_t *chosen;
+  room_t **chosen = g_new0 (room_t *, count);
 
-      if (!fit_group (rooms, &tasks[i], 1, NULL, use_kept, &chosen))
-        return;
-      start_in_rooms (b, &tasks[i], &chosen, 1, now_ms);
+  if (!follow_plan (b, rooms, tasks, count, now_ms))
+    {
+      if (fit_step (rooms, tasks, count, demand->use_kept, chosen))
+        start_in_rooms (b, tasks, chosen, count, now_ms);
+      else if (may_preempt (demand, now_ms) &&
+               plan_reclaim (b, rooms, tasks, count, demand->guaranteed, now_ms))
+        follow_plan (b, rooms, tasks, count, now_ms);
     }
+  g_free (chosen);
 }
 
-/* Urgent work does not wait for less urgent work; other work only when it would be late
-   otherwise. */
+/* Starts or plans one task. Returns FALSE when it has to wait for others' ends. */
 static gboolean
-may_preempt (const demand_t *demand, cb_msec_t now_ms)
+place_task (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, task_t *task,
+            gboolean preempt, cb_msec_t now_ms)
 {
-  return demand->job->spec->priority == 0 || now_ms >= demand->latest_start_ms;
+  room_t *room = planned_room (b, rooms, task, now_ms);
+
+  if (room == NULL && fit_group (rooms, &task, 1, NULL, demand->use_kept, &room))
+    {
+      start_in_rooms (b, &task, &room, 1, now_ms);
+      return TRUE;
+    }
+  if (room == NULL && preempt &&
+      plan_reclaim (b, rooms, &task, 1, demand->guaranteed, now_ms))
+    room = planned_room (b, rooms, task, now_ms);
+  if (room == NULL)
+    return FALSE;
+  if (room_fits (room, task_spec (task)))
+    {
+      task->planned = NULL;
+      start_in_rooms (b, &task, &room, 1, now_ms);
+    }
+  room_take (room, task_spec (task));
+  return TRUE;
 }
 
 static void
@@ -182,32 +225,24 @@
   const Cb__BatchStep *spec = demand->job->spec->steps[demand->step];
   uint32_t count;
   task_t **tasks = waiting_tasks (step, &count);
-  gboolean use_kept =
-      demand->job->spec->priority == 0 || now_ms > demand->latest_start_ms - AT_RISK_MS;
-  room_t **chosen;
+  uint32_t wave = (step->count + MAX (1, step->waves) - 1) / MAX (1, step->waves);
 
-  if (count == 0 || (spec->gang && count < step->count))
-    {
-      g_free (tasks);
-      return;
-    }
-  chosen = g_new0 (room_t *, count);
-  if (!follow_plan (b, rooms, step, tasks, count, now_ms))
+  if (spec->gang && count == step->count)
+    place_gang (b, rooms, demand, tasks, count, now_ms);
+  for (uint32_t i = 0; i < count && !spec->gang; i++)
     {
-      if (fit_step (rooms, tasks, count, use_kept, chosen))
-        start_in_rooms (b, tasks, chosen, count, now_ms);
-      else if (may_preempt (demand, now_ms) &&
-               plan_reclaim (b, rooms, tasks, count, demand->guaranteed, now_ms))
-        follow_plan (b, rooms, step, tasks, count, now_ms);
-      else if (!spec->gang)
-        place_singly (b, rooms, tasks, count, use_kept, now_ms);
+      /* A wide step stops others' work for one wave at a time. */
+      gboolean preempt = may_preempt (demand, now_ms) &&
+                         (demand->guaranteed || step->started + i < wave);
+
+      if (!place_task (b, rooms, demand, tasks[i], preempt, now_ms))
+        break;
     }
-  g_free (chosen);
   g_free (tasks);
 }
 
-/* Starts what fits, in order: guaranteed work, then by priority and by the latest start
-   that keeps the objective. */
+/* Starts what fits, in order: guaranteed work, then by priority, work that can be in
+   time before work that is late, and by the latest start that keeps the objective. */
 void
 place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
@@ -215,7 +250,6 @@
   GArray *demands = list_demands (b, rooms, now_ms, wall_ms);
 
   rooms_keep (b, rooms, now_ms);
-
   for (guint i = 0; rooms->len > 0 && i < demands->len; i++)
     place_step (b, rooms, &g_array_index (demands, demand_t, i), now_ms);
   g_array_unref (demands);
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -10,12 +10,6 @@
 /* A run that ends within this time in ms beyond a stop's duration is not stopped. */
 #define ENDS_SOON_MS 150
 
-typedef struct
-{
-  GPtrArray *victims; /* of task_t, chosen on all workers */
-  double cost;
-} plan_t;
-
 static uint32_t
 guarantee_of (const cb_batch_t *b, const char *account)
 {
@@ -120,156 +114,191 @@
   return claim->guaranteed && !account_guaranteed (claim->b, other);
 }
 
+/* What can be had on one worker. */
+typedef struct
+{
+  room_t left;        /* free, or free soon, less what the plan has taken */
+  GPtrArray *victims; /* of task_t, cheapest first */
+  guint used;         /* the first so many of them are to be stopped */
+  double cost;        /* of those */
+} place_t;
+
 static gint
 compare_cost (gconstpointer a, gconstpointer b, gpointer data)
 {
-  const claim_t *order = data;
-  double x = stop_cost (*(task_t *const *)a, order->now_ms);
-  double y = stop_cost (*(task_t *const *)b, order->now_ms);
+  const claim_t *claim = data;
+  const task_t *x = *(task_t *const *)a;
+  const task_t *y = *(task_t *const *)b;
+  double cost_x = stop_cost (x, claim->now_ms) / task_cores (task_spec (x));
+  double cost_y = stop_cost (y, claim->now_ms) / task_cores (task_spec (y));
 
-  return (x > y) - (x < y);
+  return (cost_x > cost_y) - (cost_x < cost_y);
 }
 
-/* Room on a worker if all victims there were stopped; what is being stopped already
-   counts as free. */
-static room_t *
-room_with_victims (const claim_t *claim, const room_t *room)
+static void
+free_place (void *ptr)
 {
-  room_t *copy = g_memdup2 (room, sizeof *room);
-  const worker_t *w = room->worker;
-
-  for (guint i = 0; i < w->tasks->len; i++)
-    {
-      const task_t *task = w->tasks->pdata[i];
+  place_t *place = ptr;
 
-      if (is_leaving (claim, task) || is_victim (claim, task))
-        room_give (copy, task_spec (task));
-    }
-  return copy;
+  g_ptr_array_free (place->victims, TRUE);
+  g_free (place);
 }
 
-/* Adds the cheapest victims on the worker of ROOM that make room for TAKEN times STEP.
- */
-static void
-choose_victims (plan_t *plan, const claim_t *order, const room_t *room,
-                const Cb__BatchStep *step, uint32_t taken)
+static place_t *
+new_place (claim_t *claim, const room_t *room)
 {
+  place_t *place = g_new0 (place_t, 1);
   const worker_t *w = room->worker;
-  room_t left = *room;
-  GPtrArray *victims = g_ptr_array_new ();
-  Cb__BatchStep all = *step;
 
-  all.cpu_milli *= taken;
-  all.memory_mb *= taken;
-  all.accelerators *= taken;
+  place->left = *room;
+  place->victims = g_ptr_array_new ();
   for (guint i = 0; i < w->tasks->len; i++)
     {
       task_t *task = w->tasks->pdata[i];
 
-      if (is_leaving (order, task))
-        room_give (&left, task_spec (task));
-      else if (is_victim (order, task))
-        g_ptr_array_add (victims, task);
+      if (is_leaving (claim, task))
+        room_give (&place->left, task_spec (task));
+      else if (is_victim (claim, task))
+        g_ptr_array_add (place->victims, task);
     }
-  g_ptr_array_sort_with_data (victims, compare_cost, (gpointer)order);
-  for (guint i = 0; i < victims->len && !room_fits (&left, &all); i++)
+  g_ptr_array_sort_with_data (place->victims, compare_cost, claim);
+  return place;
+}
+
+/* Returns what stopping victims for one more task costs, with LEFT and USED as they are
+   then; below 0 when the worker cannot hold it. */
+static double
+extra_cost (const claim_t *claim, const place_t *place, const Cb__BatchStep *step,
+            room_t *left, guint *used)
+{
+  double cost = 0;
+
+  *left = place->left;
+  *used = place->used;
+  while (!room_fits (left, step))
     {
-      task_t *task = victims->pdata[i];
+      const task_t *victim;
 
-      room_give (&left, task_spec (task));
-      g_ptr_array_add (plan->victims, task);
-      plan->cost += stop_cost (task, order->now_ms);
+      if (*used == place->victims->len)
+        return -1;
+      victim = place->victims->pdata[(*used)++];
+      room_give (left, task_spec (victim));
+      cost += stop_cost (victim, claim->now_ms);
     }
-  g_ptr_array_free (victims, TRUE);
+  return cost;
 }
 
-/* Finds the places in RACK (NULL: anywhere) and the victims to stop for them. */
-static plan_t *
-make_plan (const claim_t *order, GPtrArray *rooms, task_t **tasks, uint32_t count,
-           const char *rack, worker_t **places)
+/* Takes the cheapest place for TASK, in RACK unless it is NULL. */
+static place_t *
+take_place (const claim_t *claim, GPtrArray *places, const task_t *task,
+            const char *rack)
 {
-  GPtrArray *virtual = g_ptr_array_new_with_free_func (g_free);
-  room_t **chosen = g_new0 (room_t *, count);
-  plan_t *plan = NULL;
+  const Cb__BatchStep *step = task_spec (task);
+  place_t *best = NULL;
+  double best_cost = 0;
+  room_t left;
+  guint used;
 
-  for (guint i = 0; i < rooms->len; i++)
-    g_ptr_array_add (virtual, room_with_victims (order, rooms->pdata[i]));
-  if (fit_group (virtual, tasks, count, rack, TRUE, chosen))
+  for (guint i = 0; i < places->len; i++)
     {
-      plan = g_new0 (plan_t, 1);
-      plan->victims = g_ptr_array_new ();
-      for (guint i = 0; i < rooms->len; i++)
+      place_t *place = places->pdata[i];
+      double cost;
+
+      if ((rack != NULL && strcmp (place->left.worker->rack, rack) != 0) ||
+          !room_allows (&place->left, task))
+        continue;
+      cost = extra_cost (claim, place, step, &left, &used);
+      if (cost >= 0 && (best == NULL || cost < best_cost))
         {
-          uint32_t taken = 0;
-
-          for (uint32_t k = 0; k < count; k++)
-            taken += chosen[k] == virtual->pdata[i];
-          if (taken > 0)
-            choose_victims (plan, order, rooms->pdata[i], task_spec (tasks[0]), taken);
+          best = place;
+          best_cost = cost;
         }
-      for (uint32_t k = 0; k < count; k++)
-        places[k] = chosen[k]->worker;
     }
-  g_free (chosen);
-  g_ptr_array_free (virtual, TRUE);
-  return plan;
+  if (best == NULL)
+    return NULL;
+  best->cost += extra_cost (claim, best, step, &left, &used);
+  best->used = used;
+  best->left = left;
+  room_take (&best->left, step);
+  return best;
 }
 
-static void
-free_plan (plan_t *plan)
+/* Finds places for COUNT tasks in RACK (NULL: anywhere). Returns the cost, or below 0
+   when there are not enough. */
+static double
+make_plan (claim_t *claim, GPtrArray *rooms, task_t **tasks, uint32_t count,
+           const char *rack, const worker_t **chosen, GPtrArray *victims)
 {
-  if (plan == NULL)
-    return;
-  g_ptr_array_free (plan->victims, TRUE);
-  g_free (plan);
-}
+  GPtrArray *places = g_ptr_array_new_with_free_func (free_place);
+  double cost = 0;
 
-static plan_t *
-better_plan (plan_t *a, plan_t *b, worker_t **places, worker_t **candidate,
-             uint32_t count)
-{
-  if (b == NULL || (a != NULL && a->cost <= b->cost))
+  for (guint i = 0; i < rooms->len; i++)
+    g_ptr_array_add (places, new_place (claim, rooms->pdata[i]));
+  for (uint32_t i = 0; i < count && cost >= 0; i++)
+    {
+      const place_t *place = take_place (claim, places, tasks[i], rack);
+
+      if (place == NULL)
+        cost = -1;
+      else
+        chosen[i] = place->left.worker;
+    }
+  for (guint i = 0; i < places->len && cost >= 0; i++)
     {
-      free_plan (b);
-      return a;
+      const place_t *place = places->pdata[i];
+
+      cost += place->cost;
+      for (guint k = 0; k < place->used; k++)
+        g_ptr_array_add (victims, place->victims->pdata[k]);
     }
-  memcpy (places, candidate, count * sizeof *places);
-  free_plan (a);
-  return b;
+  g_ptr_array_free (places, TRUE);
+  return cost;
 }
 
-/* TRUE when what PLAN destroys is worth less than what it makes possible. */
+/* TRUE when what a plan destroys is worth less than what it makes possible. */
 static gboolean
-is_worth_it (const claim_t *claim, const plan_t *plan, const Cb__BatchStep *step,
+is_worth_it (const claim_t *claim, double cost, const Cb__BatchStep *step,
              uint32_t count)
 {
   double work =
       task_cores (step) * count * (double)expected_ms (claim->b, claim->job->spec, 0);
 
-  return claim->guaranteed || plan->cost <= LOSS_PER_WORK * work;
+  return claim->guaranteed || cost <= LOSS_PER_WORK * work;
 }
 
-static plan_t *
-best_plan (const claim_t *claim, GPtrArray *rooms, task_t **tasks, uint32_t count,
-           worker_t **places)
+/* As make_plan, in the cheapest rack when the tasks should share one. */
+static double
+best_plan (claim_t *claim, GPtrArray *rooms, task_t **tasks, uint32_t count,
+           const worker_t **chosen, GPtrArray *victims)
 {
-  worker_t **candidate = g_new0 (worker_t *, count);
   GHashTable *tried = g_hash_table_new (g_str_hash, g_str_equal);
-  plan_t *best = NULL;
+  const worker_t **candidate = g_new0 (const worker_t *, count);
+  GPtrArray *found = g_ptr_array_new ();
+  gboolean one_rack = task_spec (tasks[0])->same_rack && count > 1;
+  double best = -1;
 
-  for (guint i = 0; task_spec (tasks[0])->same_rack && count > 1 && i < rooms->len; i++)
+  for (guint i = 0; one_rack && i < rooms->len; i++)
     {
       const char *rack = ((room_t *)rooms->pdata[i])->worker->rack;
-
-      if (g_hash_table_add (tried, (gpointer)rack))
-        best =
-            better_plan (best, make_plan (claim, rooms, tasks, count, rack, candidate),
-                         places, candidate, count);
+      double cost;
+
+      if (!g_hash_table_add (tried, (gpointer)rack))
+        continue;
+      g_ptr_array_set_size (found, 0);
+      cost = make_plan (claim, rooms, tasks, count, rack, candidate, found);
+      if (cost < 0 || (best >= 0 && cost >= best))
+        continue;
+      best = cost;
+      memcpy (chosen, candidate, count * sizeof *chosen);
+      g_ptr_array_set_size (victims, 0);
+      for (guint k = 0; k < found->len; k++)
+        g_ptr_array_add (victims, found->pdata[k]);
     }
-  if (best == NULL)
-    best = make_plan (claim, rooms, tasks, count, NULL, places);
-  g_hash_table_unref (tried);
+  if (!one_rack)
+    best = make_plan (claim, rooms, tasks, count, NULL, chosen, victims);
+  g_ptr_array_free (found, TRUE);
   g_free (candidate);
+  g_hash_table_unref (tried);
   return best;
 }
 
@@ -280,30 +309,27 @@
 plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
               gboolean guaranteed, cb_msec_t now_ms)
 {
-  const Cb__BatchStep *spec = task_spec (tasks[0]);
-  step_state_t *step = task_step (tasks[0]);
-  worker_t **places = g_new0 (worker_t *, count);
+  const worker_t **chosen = g_new0 (const worker_t *, count);
+  GPtrArray *victims = g_ptr_array_new ();
   claim_t claim = { b, tasks[0]->job, guaranteed, now_ms };
-  plan_t *plan = best_plan (&claim, rooms, tasks, count, places);
+  double cost = best_plan (&claim, rooms, tasks, count, chosen, victims);
+  gboolean planned =
+      cost >= 0 && is_worth_it (&claim, cost, task_spec (tasks[0]), count);
 
-  gboolean planned = plan != NULL && is_worth_it (&claim, plan, spec, count);
-
-  if (planned)
+  for (uint32_t i = 0; planned && i < count; i++)
     {
-      step->plan = g_new0 (worker_t *, step->count);
-      for (uint32_t i = 0; i < count; i++)
-        step->plan[tasks[i]->index] = places[i];
-      step->plan_ms = now_ms;
-      cb_event (CB_LOG_INFO, "batch", "reclaim",
-                "job=%s account=%s priority=%u guaranteed=%d tasks=%u victims=%u "
-                "lost_core_ms=%.0f",
-                tasks[0]->job->spec->id, tasks[0]->job->spec->account,
-                tasks[0]->job->spec->priority, guaranteed, count, plan->victims->len,
-                plan->cost);
-      for (guint i = 0; i < plan->victims->len; i++)
-        stop_task (b, plan->victims->pdata[i], now_ms, "reclaimed");
+      tasks[i]->planned = chosen[i];
+      tasks[i]->planned_ms = now_ms;
     }
-  free_plan (plan);
-  g_free (places);
+  if (planned)
+    cb_event (CB_LOG_INFO, "batch", "reclaim",
+              "job=%s account=%s priority=%u guaranteed=%d tasks=%u victims=%u "
+              "lost_core_ms=%.0f",
+              tasks[0]->job->spec->id, tasks[0]->job->spec->account,
+              tasks[0]->job->spec->priority, guaranteed, count, victims->len, cost);
+  for (guint i = 0; planned && i < victims->len; i++)
+    stop_task (b, victims->pdata[i], now_ms, "reclaimed");
+  g_ptr_array_free (victims, TRUE);
+  g_free (chosen);
   return planned;
 }
--- a/batch/state.c
+++ b/batch/state.c
@@ -19,7 +19,6 @@
               g_free (step->tasks[t].live_saved);
             }
           g_free (step->tasks);
-          g_free (step->plan);
         }
       g_free (job->occurrences[k].steps);
     }
