--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -6,7 +6,7 @@
 #define RESTORE_COST_MS 200
 /* Without a guarantee, work may be stopped for a job only when what is lost is at most
    this multiple of the job's own work. */
-#define LOSS_PER_WORK 0.5
+#define LOSS_PER_WORK 1.0
 /* A run that ends within this time in ms beyond a stop's duration is not stopped. */
 #define ENDS_SOON_MS 150
 
