Keep room for urgent work; start work at risk before work that can wait

Urgent gangs of whole workers waited 5 to 10 s because the least urgent work, with 18 s of slack, took every free accelerator just before a burst. The emptiest workers are now kept: 0.3 of all accelerators from work that is not urgent, 0.6 from the least urgent, unless a job is about to be late or the fleet is idle. Places that will be free first are kept for urgent work that waits.

--- a/batch/local.h
+++ b/batch/local.h
@@ -72,6 +72,7 @@
   cb_msec_t folded_ms;     /* local clock */
   cb_msec_t ended_wall_ms; /* 0: open */
   uint32_t open_runs;      /* tasks in TASK_STARTED */
+  cb_msec_t idle_ms;       /* since when nothing of it runs */
 };
 
 struct worker
@@ -112,7 +113,7 @@
   int64_t cpu_milli;
   int64_t memory_mb;
   int64_t accelerators;
-  gboolean kept; /* for urgent work that may come */
+  uint32_t kept; /* from work of this priority and higher numbers; 0: from none */
 } room_t;
 
 typedef struct
@@ -189,10 +190,11 @@
 GPtrArray *rooms_new (cb_batch_t *b, cb_msec_t now_ms);
 gboolean room_fits (const room_t *room, const Cb__BatchStep *step);
 uint32_t room_waves (const GPtrArray *rooms, const Cb__BatchStep *step);
-void rooms_keep (cb_batch_t *b, GPtrArray *rooms, cb_msec_t now_ms);
+void rooms_keep (GPtrArray *rooms);
+double rooms_use (const GPtrArray *rooms);
 void room_take (room_t *room, const Cb__BatchStep *step);
 void room_give (room_t *room, const Cb__BatchStep *step);
-gboolean room_allows (const room_t *room, const task_t *task);
+gboolean room_allows (const room_t *room, const task_t *task, uint32_t more);
 gboolean fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
                     gboolean use_kept, room_t **chosen);
 gboolean fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, gboolean use_kept,
@@ -203,6 +205,9 @@
 gboolean plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
                        gboolean guaranteed, cb_msec_t now_ms);
 
+void await_places (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+                   cb_msec_t now_ms);
+
 /* place.c */
 void place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms);
 
--- a/batch/place.c
+++ b/batch/place.c
@@ -2,10 +2,18 @@
 
 #include <string.h>
 
-/* A plan that could not be carried out within two stops and this long is dropped. */
-#define PLAN_SLACK_MS 1500
+/* A plan that could not be carried out within a stop and this long in ms is dropped. */
+#define PLAN_SLACK_MS 600
 /* Work that has to start within this time in ms to be in time uses every room. */
 #define AT_RISK_MS 3000
+/* Ranks of work that is not urgent; the priority is added. */
+#define AT_RISK_RANK 100
+#define WAITING_RANK 200
+#define LATE_RANK 300
+/* While less of the fleet is in use, a job of which nothing has run for this long in ms
+   uses every room: work is not held back on an idle fleet. */
+#define IDLE_USE 0.6
+#define IDLE_WAIT_MS 1200
 
 /* A step with waiting tasks whose turn has come. */
 typedef struct
@@ -16,7 +24,8 @@
   cb_msec_t latest_start_ms; /* to end within the objective */
   gboolean guaranteed;       /* covered by its account's guarantee */
   gboolean late;             /* cannot end within its objective any more */
-  gboolean use_kept;
+  gboolean at_risk;          /* late unless it starts soon */
+  gboolean use_kept;         /* may use rooms that are kept for urgent work */
 } demand_t;
 
 static cb_msec_t
@@ -26,6 +35,20 @@
          job->spec->slack_ms;
 }
 
+/* Urgent work first; then work that would be late if it waited further, then the rest
+   by priority, and what is late already at the end. */
+static uint32_t
+rank (const demand_t *demand)
+{
+  uint32_t priority = demand->job->spec->priority;
+
+  if (priority == 0)
+    return demand->late ? 1 : 0;
+  if (demand->late)
+    return LATE_RANK + priority;
+  return (demand->at_risk ? AT_RISK_RANK : WAITING_RANK) + priority;
+}
+
 static int
 compare_demands (const void *a, const void *b)
 {
@@ -34,31 +57,32 @@
 
   if (x->guaranteed != y->guaranteed)
     return y->guaranteed - x->guaranteed;
-  if (x->job->spec->priority != y->job->spec->priority)
-    return x->job->spec->priority < y->job->spec->priority ? -1 : 1;
-  if (x->late != y->late)
-    return x->late - y->late;
+  if (rank (x) != rank (y))
+    return rank (x) < rank (y) ? -1 : 1;
   if (x->latest_start_ms != y->latest_start_ms)
     return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
   return strcmp (x->job->spec->id, y->job->spec->id);
 }
 
 static void
-add_demand (cb_batch_t *b, GArray *demands, demand_t demand, cb_msec_t now_ms)
+add_demand (cb_batch_t *b, GArray *demands, demand_t demand, double use,
+            cb_msec_t now_ms)
 {
   job_t *job = demand.job;
 
   demand.latest_start_ms = job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
   demand.late = now_ms > demand.latest_start_ms;
+  demand.at_risk = now_ms > demand.latest_start_ms - AT_RISK_MS;
   demand.use_kept =
-      job->spec->priority == 0 || now_ms > demand.latest_start_ms - AT_RISK_MS;
+      job->spec->priority == 0 || demand.at_risk ||
+      (use < IDLE_USE && job->open_runs == 0 && now_ms - job->idle_ms > IDLE_WAIT_MS);
   demand.guaranteed = account_guaranteed (b, job);
   g_array_append_val (demands, demand);
 }
 
 static void
 add_demands_of (cb_batch_t *b, GArray *demands, job_t *job, const GPtrArray *rooms,
-                cb_msec_t now_ms, cb_msec_t wall_ms)
+                double use, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     for (uint32_t i = 0; i < job->spec->n_steps; i++)
@@ -70,7 +94,7 @@
           continue;
         if (step->waves == 0)
           step->waves = room_waves (rooms, job->spec->steps[i]);
-        add_demand (b, demands, demand, now_ms);
+        add_demand (b, demands, demand, use, now_ms);
       }
 }
 
@@ -79,10 +103,11 @@
               cb_msec_t wall_ms)
 {
   GArray *demands = g_array_new (FALSE, FALSE, sizeof (demand_t));
+  double use = rooms_use (rooms);
 
   for (GList *l = b->open.head; l != NULL; l = l->next)
     if (job_open (l->data))
-      add_demands_of (b, demands, l->data, rooms, now_ms, wall_ms);
+      add_demands_of (b, demands, l->data, rooms, use, now_ms, wall_ms);
   qsort (demands->data, demands->len, sizeof (demand_t), compare_demands);
   return demands;
 }
@@ -129,7 +154,7 @@
   room_t *room = NULL;
 
   if (task->planned != NULL &&
-      now_ms - task->planned_ms < 2 * b->params.stop_ms + PLAN_SLACK_MS)
+      now_ms - task->planned_ms < b->params.stop_ms + PLAN_SLACK_MS)
     room = room_of (rooms, task->planned);
   if (room == NULL)
     task->planned = NULL;
@@ -187,6 +212,8 @@
       else if (may_preempt (demand, now_ms) &&
                plan_reclaim (b, rooms, tasks, count, demand->guaranteed, now_ms))
         follow_plan (b, rooms, tasks, count, now_ms);
+      else if (demand->job->spec->priority == 0 || demand->at_risk)
+        await_places (b, rooms, tasks, count, now_ms);
     }
   g_free (chosen);
 }
@@ -207,7 +234,16 @@
       plan_reclaim (b, rooms, &task, 1, demand->guaranteed, now_ms))
     room = planned_room (b, rooms, task, now_ms);
   if (room == NULL)
-    return FALSE;
+    {
+      if (demand->job->spec->priority == 0 || demand->at_risk)
+        await_places (b, rooms, &task, 1, now_ms);
+      return FALSE;
+    }
+  if (!room_allows (room, task, 0))
+    {
+      task->planned = NULL;
+      return FALSE;
+    }
   if (room_fits (room, task_spec (task)))
     {
       task->planned = NULL;
@@ -249,7 +285,7 @@
   GPtrArray *rooms = rooms_new (b, now_ms);
   GArray *demands = list_demands (b, rooms, now_ms, wall_ms);
 
-  rooms_keep (b, rooms, now_ms);
+  rooms_keep (rooms);
   for (guint i = 0; rooms->len > 0 && i < demands->len; i++)
     place_step (b, rooms, &g_array_index (demands, demand_t, i), now_ms);
   g_array_unref (demands);
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -59,6 +59,7 @@
   const cb_batch_t *b;
   const job_t *job; /* that the room is for */
   gboolean guaranteed;
+  gboolean waits; /* for the ends of others instead of stopping them */
   cb_msec_t now_ms;
 } claim_t;
 
@@ -92,11 +93,13 @@
              claim->b->params.stop_ms + ENDS_SOON_MS;
 }
 
-/* TRUE when TASK's place is free within the time of a stop without one. */
+/* TRUE when TASK's place is free within the time of a stop without one. A guarantee
+   does not rely on an expected end. */
 static gboolean
 is_leaving (const claim_t *claim, const task_t *task)
 {
-  return task->stop || task->proposed_end || ends_soon (claim, task);
+  return task->stop || task->proposed_end ||
+         (!claim->guaranteed && ends_soon (claim, task));
 }
 
 /* Less urgent work gives way; equally urgent work only to a guarantee when it has none
@@ -106,6 +109,8 @@
 {
   const job_t *other = task->job;
 
+  if (claim->waits)
+    return !task_spec (task)->daemon;
   if (task->state != TASK_STARTED || is_leaving (claim, task) ||
       task_spec (task)->daemon)
     return FALSE;
@@ -121,16 +126,28 @@
   GPtrArray *victims; /* of task_t, cheapest first */
   guint used;         /* the first so many of them are to be stopped */
   double cost;        /* of those */
+  uint32_t taken;     /* tasks that the plan puts here */
 } place_t;
 
+/* Core-ms that are lost, or ms to wait. */
+static double
+victim_cost (const claim_t *claim, const task_t *task)
+{
+  if (claim->waits)
+    return (double)remaining_ms (claim->b, task, claim->now_ms);
+  return stop_cost (task, claim->now_ms);
+}
+
 static gint
 compare_cost (gconstpointer a, gconstpointer b, gpointer data)
 {
   const claim_t *claim = data;
   const task_t *x = *(task_t *const *)a;
   const task_t *y = *(task_t *const *)b;
-  double cost_x = stop_cost (x, claim->now_ms) / task_cores (task_spec (x));
-  double cost_y = stop_cost (y, claim->now_ms) / task_cores (task_spec (y));
+  double cost_x =
+      victim_cost (claim, x) / (claim->waits ? 1 : task_cores (task_spec (x)));
+  double cost_y =
+      victim_cost (claim, y) / (claim->waits ? 1 : task_cores (task_spec (y)));
 
   return (cost_x > cost_y) - (cost_x < cost_y);
 }
@@ -183,7 +200,8 @@
         return -1;
       victim = place->victims->pdata[(*used)++];
       room_give (left, task_spec (victim));
-      cost += stop_cost (victim, claim->now_ms);
+      cost = claim->waits ? victim_cost (claim, victim)
+                          : cost + victim_cost (claim, victim);
     }
   return cost;
 }
@@ -205,7 +223,7 @@
       double cost;
 
       if ((rack != NULL && strcmp (place->left.worker->rack, rack) != 0) ||
-          !room_allows (&place->left, task))
+          !room_allows (&place->left, task, place->taken))
         continue;
       cost = extra_cost (claim, place, step, &left, &used);
       if (cost >= 0 && (best == NULL || cost < best_cost))
@@ -216,9 +234,11 @@
     }
   if (best == NULL)
     return NULL;
-  best->cost += extra_cost (claim, best, step, &left, &used);
+  best_cost = extra_cost (claim, best, step, &left, &used);
+  best->cost = claim->waits ? MAX (best->cost, best_cost) : best->cost + best_cost;
   best->used = used;
   best->left = left;
+  best->taken++;
   room_take (&best->left, step);
   return best;
 }
@@ -247,7 +267,7 @@
     {
       const place_t *place = places->pdata[i];
 
-      cost += place->cost;
+      cost = claim->waits ? MAX (cost, place->cost) : cost + place->cost;
       for (guint k = 0; k < place->used; k++)
         g_ptr_array_add (victims, place->victims->pdata[k]);
     }
@@ -311,7 +331,7 @@
 {
   const worker_t **chosen = g_new0 (const worker_t *, count);
   GPtrArray *victims = g_ptr_array_new ();
-  claim_t claim = { b, tasks[0]->job, guaranteed, now_ms };
+  claim_t claim = { b, tasks[0]->job, guaranteed, FALSE, now_ms };
   double cost = best_plan (&claim, rooms, tasks, count, chosen, victims);
   gboolean planned =
       cost >= 0 && is_worth_it (&claim, cost, task_spec (tasks[0]), count);
@@ -333,3 +353,22 @@
   g_free (chosen);
   return planned;
 }
+
+/* Keeps the places that will be free first for COUNT tasks that cannot start yet, so
+   that smaller work does not take them one by one. */
+void
+await_places (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+              cb_msec_t now_ms)
+{
+  const worker_t **chosen = g_new0 (const worker_t *, count);
+  GPtrArray *awaited = g_ptr_array_new ();
+  claim_t claim = { b, tasks[0]->job, FALSE, TRUE, now_ms };
+  double wait_ms = best_plan (&claim, rooms, tasks, count, chosen, awaited);
+
+  for (uint32_t i = 0; wait_ms >= 0 && i < count; i++)
+    for (guint k = 0; k < rooms->len; k++)
+      if (((room_t *)rooms->pdata[k])->worker == chosen[i])
+        room_take (rooms->pdata[k], task_spec (tasks[i]));
+  g_ptr_array_free (awaited, TRUE);
+  g_free (chosen);
+}
--- a/batch/room.c
+++ b/batch/room.c
@@ -8,13 +8,10 @@
 /* A step that is wider than one in STEP_SHARE of the fleet runs in waves; the platform
    counts its objective so. */
 #define STEP_SHARE 4
-/* Time in ms after which the peak of urgent work counts half. */
-#define PEAK_HALF_MS 8000
-/* The peak decays in steps of this many ms, by this factor: half in PEAK_HALF_MS. */
-#define PEAK_STEP_MS 250
-#define PEAK_DECAY 0.97857
-/* Part of the peak that is kept. */
-#define KEEP_SHARE 0.0
+/* Shares of all accelerators that are kept for urgent work: from all other work, and
+   from the least urgent work. */
+#define KEEP_FROM_OTHERS 0.3
+#define KEEP_FROM_LAST 0.6
 
 static room_t *
 room_new (worker_t *w)
@@ -61,67 +58,80 @@
   return rooms;
 }
 
-/* Accelerators that urgent work uses, or waits for. */
-static double
-urgent_demand (const cb_batch_t *b)
+static gint
+compare_free (gconstpointer a, gconstpointer b)
 {
-  double demand = 0;
+  const room_t *x = *(room_t *const *)a;
+  const room_t *y = *(room_t *const *)b;
+
+  if (x->accelerators != y->accelerators)
+    return x->accelerators > y->accelerators ? -1 : 1;
+  return strcmp (x->worker->id, y->worker->id);
+}
 
-  for (const GList *l = b->open.head; l != NULL; l = l->next)
+/* Accelerators of all rooms, and of them those that urgent work uses. */
+static void
+count_accelerators (const GPtrArray *rooms, double *total, double *urgent)
+{
+  *total = 0;
+  *urgent = 0;
+  for (guint i = 0; i < rooms->len; i++)
     {
-      const job_t *job = l->data;
+      const worker_t *w = ((room_t *)rooms->pdata[i])->worker;
 
-      if (job->spec->priority != 0 || !job_open (job))
-        continue;
-      for (size_t i = 0; i < job->spec->n_steps; i++)
+      *total += w->accelerators;
+      for (guint k = 0; k < w->tasks->len; k++)
         {
-          const step_state_t *step = &job->occurrences[0].steps[i];
+          const task_t *task = w->tasks->pdata[k];
 
-          demand += (double)(step->count - step->done) *
-                    job->spec->steps[i]->accelerators / MAX (1, step->waves);
+          if (task->job->spec->priority == 0)
+            *urgent += task_spec (task)->accelerators;
         }
     }
-  return demand;
 }
 
-static gint
-compare_free (gconstpointer a, gconstpointer b)
+/* Returns the share of all accelerators or of all cores that is in use, the larger. */
+double
+rooms_use (const GPtrArray *rooms)
 {
-  const room_t *x = *(room_t *const *)a;
-  const room_t *y = *(room_t *const *)b;
+  double accelerators = 0;
+  double free_accelerators = 0;
+  double cpu = 0;
+  double free_cpu = 0;
 
-  if (x->accelerators != y->accelerators)
-    return x->accelerators > y->accelerators ? -1 : 1;
-  return strcmp (x->worker->id, y->worker->id);
+  for (guint i = 0; i < rooms->len; i++)
+    {
+      const room_t *room = rooms->pdata[i];
+
+      accelerators += room->worker->accelerators;
+      free_accelerators += (double)room->accelerators;
+      cpu += room->worker->cpu_milli;
+      free_cpu += (double)room->cpu_milli;
+    }
+  return 1 - MIN (accelerators > 0 ? free_accelerators / accelerators : 1,
+                  cpu > 0 ? free_cpu / cpu : 1);
 }
 
-/* Keeps the emptiest workers for urgent work, as many accelerators as its recent peak
-   exceeds its present use. It comes in bursts, starts at once or is late, and often
-   needs whole workers; other work has time to wait. */
+/* Keeps the emptiest workers for urgent work that may come: it arrives in bursts, is
+   late unless it starts at once, and often needs whole workers, while other work has
+   time to wait. What urgent work uses already counts as kept. */
 void
-rooms_keep (cb_batch_t *b, GPtrArray *rooms, cb_msec_t now_ms)
+rooms_keep (GPtrArray *rooms)
 {
-  double demand = urgent_demand (b);
-  double missing;
   GPtrArray *order = g_ptr_array_new ();
+  double total;
+  double kept;
 
-  for (; b->urgent_ms + PEAK_STEP_MS <= now_ms; b->urgent_ms += PEAK_STEP_MS)
-    {
-      if (now_ms - b->urgent_ms > PEAK_HALF_MS * 8)
-        b->urgent_ms = now_ms - PEAK_HALF_MS;
-      b->urgent_peak *= PEAK_DECAY;
-    }
-  b->urgent_peak = MAX (b->urgent_peak, demand);
-  missing = b->urgent_peak * KEEP_SHARE - demand;
+  count_accelerators (rooms, &total, &kept);
   for (guint i = 0; i < rooms->len; i++)
     g_ptr_array_add (order, rooms->pdata[i]);
   g_ptr_array_sort (order, compare_free);
-  for (guint i = 0; i < order->len && missing > 0; i++)
+  for (guint i = 0; i < order->len && kept < KEEP_FROM_LAST * total; i++)
     {
       room_t *room = order->pdata[i];
 
-      room->kept = TRUE;
-      missing -= (double)MAX (0, room->accelerators);
+      room->kept = kept < KEEP_FROM_OTHERS * total ? 1 : 2;
+      kept += (double)MAX (0, room->accelerators);
     }
   g_ptr_array_free (order, TRUE);
 }
@@ -165,9 +175,10 @@
   return count;
 }
 
-/* TRUE when the worker may run TASK whatever its free room. */
+/* TRUE when the worker may run TASK, whatever its free room, after MORE tasks of the
+   same step that are chosen for it. */
 gboolean
-room_allows (const room_t *room, const task_t *task)
+room_allows (const room_t *room, const task_t *task, uint32_t more)
 {
   const Cb__BatchStep *step = task_spec (task);
   const worker_t *w = room->worker;
@@ -177,7 +188,8 @@
   if (step->label[0] != '\0' &&
       !g_strv_contains ((const char *const *)w->labels, step->label))
     return FALSE;
-  return step->per_worker_max == 0 || tasks_of_step (w, task) < step->per_worker_max;
+  return step->per_worker_max == 0 ||
+         tasks_of_step (w, task) + more < step->per_worker_max;
 }
 
 /* Lower is better: away from its data last, then the fullest worker that still holds
@@ -211,15 +223,14 @@
       uint32_t same = 0;
       double score;
 
-      if (room->kept && !use_kept)
+      if (!use_kept && room->kept > 0 && task->job->spec->priority >= room->kept)
         continue;
       if ((rack != NULL && strcmp (room->worker->rack, rack) != 0) ||
-          !room_fits (room, step) || !room_allows (room, task))
+          !room_fits (room, step))
         continue;
       for (uint32_t k = 0; step->per_worker_max > 0 && k < n_chosen; k++)
         same += chosen[k] == room;
-      if (step->per_worker_max > 0 &&
-          same + tasks_of_step (room->worker, task) >= step->per_worker_max)
+      if (!room_allows (room, task, same))
         continue;
       score = room_score (room, step,
                           room->worker->avoid_until_ms - room->worker->report_ms);
--- a/batch/state.c
+++ b/batch/state.c
@@ -228,6 +228,7 @@
   job->n_occurrences = MAX (1, spec->times);
   job->occurrences = g_new0 (occurrence_t, job->n_occurrences);
   job->folded_ms = now_ms;
+  job->idle_ms = now_ms;
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     {
       job->occurrences[k].steps = g_new0 (step_state_t, MAX (1, spec->n_steps));
@@ -459,6 +460,8 @@
     }
   else if (end->how == CB__RUN_END__RUN_FAILED)
     count_failure (b, task, wall_ms);
+  if (task->job->open_runs == 0)
+    task->job->idle_ms = now_ms;
   b->dirty = TRUE;
 }
 
