Test the batch scheduler in virtual time; hold back whole jobs less on an idle fleet

The burst test failed first: the rule for an idle fleet let whole jobs of the least urgent work fill it (85 of 96 accelerators lent, 15 of 24 urgent jobs in time). It now admits one task of a job; kept rooms are rounded to the nearest whole worker. 24 of 24.

--- a/batch/place.c
+++ b/batch/place.c
@@ -11,8 +11,8 @@
 #define WAITING_RANK 200
 #define LATE_RANK 300
 /* While less of the fleet is in use, a job of which nothing has run for this long in ms
-   uses every room: work is not held back on an idle fleet. */
-#define IDLE_USE 0.6
+   gets one task, or its gang, into any room: no job stands still on an idle fleet. */
+#define IDLE_USE 0.55
 #define IDLE_WAIT_MS 1200
 
 /* A step with waiting tasks whose turn has come. */
@@ -25,6 +25,7 @@
   gboolean guaranteed;       /* covered by its account's guarantee */
   gboolean late;             /* cannot end within its objective any more */
   gboolean at_risk;          /* late unless it starts soon */
+  gboolean idle;             /* nothing of it runs on a fleet with much room */
   gboolean use_kept;         /* may use rooms that are kept for urgent work */
 } demand_t;
 
@@ -50,7 +51,7 @@
 }
 
 static int
-compare_demands (const void *a, const void *b)
+compare_demands (gconstpointer a, gconstpointer b)
 {
   const demand_t *x = a;
   const demand_t *y = b;
@@ -73,9 +74,9 @@
   demand.latest_start_ms = job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
   demand.late = now_ms > demand.latest_start_ms;
   demand.at_risk = now_ms > demand.latest_start_ms - AT_RISK_MS;
-  demand.use_kept =
-      job->spec->priority == 0 || demand.at_risk ||
-      (use < IDLE_USE && job->open_runs == 0 && now_ms - job->idle_ms > IDLE_WAIT_MS);
+  demand.idle =
+      use < IDLE_USE && job->open_runs == 0 && now_ms - job->idle_ms > IDLE_WAIT_MS;
+  demand.use_kept = job->spec->priority == 0 || demand.at_risk || demand.idle;
   demand.guaranteed = account_guaranteed (b, job);
   g_array_append_val (demands, demand);
 }
@@ -108,7 +109,7 @@
   for (GList *l = b->open.head; l != NULL; l = l->next)
     if (job_open (l->data))
       add_demands_of (b, demands, l->data, rooms, use, now_ms, wall_ms);
-  qsort (demands->data, demands->len, sizeof (demand_t), compare_demands);
+  g_array_sort (demands, compare_demands);
   return demands;
 }
 
@@ -271,7 +272,8 @@
       gboolean preempt = may_preempt (demand, now_ms) &&
                          (demand->guaranteed || step->started + i < wave);
 
-      if (!place_task (b, rooms, demand, tasks[i], preempt, now_ms))
+      if (!place_task (b, rooms, demand, tasks[i], preempt, now_ms) ||
+          (demand->idle && !demand->at_risk && demand->job->spec->priority > 0))
         break;
     }
   g_free (tasks);
--- a/batch/room.c
+++ b/batch/room.c
@@ -130,8 +130,14 @@
     {
       room_t *room = order->pdata[i];
 
-      room->kept = kept < KEEP_FROM_OTHERS * total ? 1 : 2;
-      kept += (double)MAX (0, room->accelerators);
+      double accelerators = (double)MAX (0, room->accelerators);
+
+      /* To the nearest whole worker. */
+      if (kept + accelerators / 2 <= KEEP_FROM_OTHERS * total)
+        room->kept = 1;
+      else if (kept + accelerators / 2 <= KEEP_FROM_LAST * total)
+        room->kept = 2;
+      kept += accelerators;
     }
   g_ptr_array_free (order, TRUE);
 }
--- /dev/null
+++ b/test/batch_place_test.cc
@@ -0,0 +1,162 @@
+// Guards the decisions of the batch scheduler under load: guarantees, who gives way to
+// whom, what is kept for urgent work, and that nothing is held back on an idle fleet.
+#include "test/batch_harness.h"
+
+namespace
+{
+
+// All accelerators are lent out; the owner of a guarantee gets its share back in time.
+TEST (BatchPlace, GuaranteedWorkStartsWithinTheBound)
+{
+  BatchSite site (4, 2, { { "owner", 16 } });
+
+  site.length_ms["lent"] = 60000;
+  site.Submit ("lent", 0, { { 32, 1 } }, "other");
+  site.Advance (300);
+  EXPECT_EQ (site.Running ("lent"), 32);
+  cb_msec_t accepted = site.now;
+  site.Submit ("own", 0, { { 2, 8, 1000, true, true } }, "owner");
+  site.Advance (site.params.reclaim_ms);
+  ASSERT_EQ (site.first_start_ms.count ("own.0.0.1"), 1u);
+  EXPECT_LE (site.first_start_ms["own.0.0.1"] - accepted, site.params.reclaim_ms);
+}
+
+// Guards against a plan that counts on ends which never come (hunt: RECLAIM on armor
+// scale-1 --seed 854364305702).
+TEST (BatchPlace, GuaranteeDoesNotWaitForWorkThatSeemsAboutToEnd)
+{
+  BatchSite site (1, 1, { { "owner", 8 } });
+
+  site.length_ms["lent"] = 1000;
+  site.Submit ("lent", 2, { { 8, 1 } }, "other");
+  site.Advance (900);
+  site.workers[0]->stuck = true;
+  cb_msec_t accepted = site.now;
+  site.Submit ("own", 0, { { 1, 8 } }, "owner");
+  site.Advance (site.params.reclaim_ms);
+  ASSERT_EQ (site.first_start_ms.count ("own.0.0.0"), 1u);
+  EXPECT_LE (site.first_start_ms["own.0.0.0"] - accepted, site.params.reclaim_ms);
+}
+
+// Of two kinds of work that could give way, the one that saves its progress does.
+TEST (BatchPlace, WorkThatSavesItsProgressGivesWayFirst)
+{
+  BatchSite site (2, 1);
+
+  site.length_ms["plain"] = 60000;
+  site.length_ms["saving"] = 60000;
+  site.Submit ("plain", 1, { { 1, 8 } });
+  site.Submit ("saving", 1, { { 1, 8, 1000, false, false, true } });
+  site.Advance (30000);
+  ASSERT_EQ (site.Running ("plain") + site.Running ("saving"), 2);
+  site.Submit ("urgent", 0, { { 1, 8 } });
+  site.Advance (600);
+  EXPECT_EQ (site.Running ("urgent"), 1);
+  EXPECT_EQ (site.Running ("plain"), 1);
+  site.Advance (2000);
+  EXPECT_EQ (site.Running ("saving"), 1);
+  EXPECT_NE (site.started_with["saving.0.0.0"], "");
+}
+
+// Work that ran long is not destroyed for a short job.
+TEST (BatchPlace, LossIsBoundedByTheGain)
+{
+  BatchSite site (1, 1);
+
+  site.length_ms["plain"] = 60000;
+  site.Submit ("plain", 1, { { 1, 8 } });
+  site.Advance (30000);
+  site.Submit ("urgent", 0, { { 1, 8 } });
+  site.Advance (3000);
+  EXPECT_EQ (site.Running ("plain"), 1);
+}
+
+// Guards against two planned tasks on one worker that may take one only.
+TEST (BatchPlace, LimitPerWorkerHoldsForPlannedTasks)
+{
+  BatchSite site (2, 2);
+
+  site.length_ms["fill"] = 60000;
+  site.Submit ("fill", 2, { { 16, 1, 1000, false, false, true } });
+  site.Advance (4000);
+  StepSpec apart;
+  apart.count = 4;
+  apart.per_worker_max = 1;
+  site.length_ms["apart"] = 5000;
+  site.Submit ("apart", 0, { apart });
+  for (int i = 0; i < 40; i++)
+    {
+      site.Advance (100);
+      for (const auto &w : site.workers)
+        {
+          int here = 0;
+          for (const auto &r : w->running)
+            here += r.first.rfind ("apart.", 0) == 0;
+          EXPECT_LE (here, 1);
+        }
+    }
+}
+
+// Guards against work held back for urgent work that does not come (LOST on 3 days when
+// room was kept without this rule).
+TEST (BatchPlace, IdleFleetHoldsNothingBack)
+{
+  BatchSite site (5, 5);
+
+  site.length_ms["wide"] = 4000;
+  site.Submit ("wide", 2, { { 5, 8 } });
+  site.Advance (200);
+  site.Submit ("late", 2, { { 1, 8 } });
+  site.Advance (2500);
+  EXPECT_GE (site.first_start_ms.count ("wide.0.0.0"), 1u);
+  site.Advance (12000);
+  EXPECT_EQ (site.Status ("wide"), CB_JOB_COMPLETED);
+  EXPECT_EQ (site.Status ("late"), CB_JOB_COMPLETED);
+}
+
+// A burst of urgent jobs beside less urgent ones that could fill the fleet: what
+// callers of urgent jobs get. The bound is their objective, 1.5 times the work and 250
+// ms.
+TEST (BatchPlace, BurstOfUrgentJobsIsInTime)
+{
+  BatchSite site (12, 3);
+  int in_time = 0;
+  const int jobs = 24;
+  StepSpec batch = { 9, 1, 5600 };
+
+  batch.estimate_ms = 8000;
+  for (int i = 0; i < 10; i++)
+    {
+      site.length_ms["b" + std::to_string (i)] = 8000;
+      site.Submit ("b" + std::to_string (i), 2, { batch });
+    }
+  site.Advance (3000);
+  std::map<std::string, cb_msec_t> accepted;
+  int lent = 0;
+  for (int i = 0; i < 10; i++)
+    lent += site.Running ("b" + std::to_string (i));
+  EXPECT_LE (lent, 0.4 * 96 + 8);
+  for (int i = 0; i < jobs; i++)
+    {
+      std::string id = "u" + std::to_string (i);
+      site.length_ms[id] = 2000;
+      accepted[id] = site.now;
+      site.Submit (id, 0,
+                   { { 1 + static_cast<uint32_t> (i % 2), 4, 7500, true, true } });
+      site.Advance (250);
+    }
+  site.Advance (6000);
+  for (int i = 0; i < jobs; i++)
+    {
+      std::string task = "u" + std::to_string (i) + ".0.0.0";
+      if (site.first_start_ms.count (task) &&
+          site.first_start_ms[task] - accepted["u" + std::to_string (i)] <= 1250)
+        in_time++;
+    }
+  EXPECT_EQ (in_time, jobs);
+  site.Advance (60000);
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (site.Status ("b" + std::to_string (i)), CB_JOB_COMPLETED);
+}
+
+} // namespace
