--- a/batch/place.c
+++ b/batch/place.c
@@ -117,7 +117,7 @@
 static task_t **
 waiting_tasks (step_state_t *step, uint32_t *count)
 {
-  task_t **tasks = g_new (task_t *, MAX (1, step->count));
+  task_t **tasks = g_new0 (task_t *, MAX (1, step->count));
 
   *count = 0;
   for (uint32_t t = 0; t < step->count; t++)
@@ -264,7 +264,7 @@
   task_t **tasks = waiting_tasks (step, &count);
   uint32_t wave = (step->count + MAX (1, step->waves) - 1) / MAX (1, step->waves);
 
-  if (spec->gang && count == step->count)
+  if (spec->gang && count > 0 && count == step->count)
     place_gang (b, rooms, demand, tasks, count, now_ms);
   for (uint32_t i = 0; i < count && !spec->gang; i++)
     {
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -309,7 +309,8 @@
       if (cost < 0 || (best >= 0 && cost >= best))
         continue;
       best = cost;
-      memcpy (chosen, candidate, count * sizeof *chosen);
+      for (uint32_t k = 0; k < count; k++)
+        chosen[k] = candidate[k];
       g_ptr_array_set_size (victims, 0);
       for (guint k = 0; k < found->len; k++)
         g_ptr_array_add (victims, found->pdata[k]);
--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -647,8 +647,9 @@
 static int
 run (Cb__PlatformSettings *settings)
 {
-  agent_t agent = { .settings = settings };
+  static agent_t agent; /* calls under way refer to it until the process ends */
 
+  agent.settings = settings;
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
   signal (SIGPIPE, SIG_IGN);
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -84,7 +84,8 @@
 static int
 run (Cb__PlatformSettings *settings)
 {
-  cb_batch_entry_t entry = { .settings = settings, .clock = cb_clock_system () };
+  static cb_batch_entry_t
+      entry; /* calls under way refer to it until the process ends */
   const cb_batch_params_t params = {
     .hold_max_ms = (cb_msec_t)settings->hold_max_ms,
     .stop_ms = (cb_msec_t)settings->stop_ms,
@@ -93,6 +94,8 @@
     .remote_slowdown = settings->remote_slowdown,
   };
 
+  entry.settings = settings;
+  entry.clock = cb_clock_system ();
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
   signal (SIGPIPE, SIG_IGN);
--- /dev/null
+++ b/fakes/store.c
@@ -0,0 +1,247 @@
+/* carobrun-fake-store: the log of the users' platform in memory, as platform/store.c
+   speaks to it. `POST /control {"mode":M,"count":N}` makes it fail: `busy` refuses all
+   calls, `silent` answers none, `lose` stores appends without an answer, `ok` ends it.
+   The mode applies N times, always without N. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/lib/fake.h"
+
+#define LENGTH_BYTES 4
+#define MAX_ANSWER_BYTES ((size_t)1 << 20)
+#define KEYED_PREFIX "keyed."
+/* Period in ms in which waiting reads are looked at. */
+#define TICK_MS 5
+
+typedef struct
+{
+  GPtrArray *records; /* of GBytes, from offset 0 */
+} topic_t;
+
+typedef struct
+{
+  cb_http_req_t *req;
+  topic_t *topic;
+  uint64_t from;
+  cb_msec_t due_ms;
+} waiting_t;
+
+typedef struct
+{
+  cb_fake_t fake;
+  GHashTable *topics; /* name -> topic_t */
+  GQueue waiting;     /* of waiting_t */
+} store_t;
+
+static topic_t *
+get_topic (store_t *store, const char *name)
+{
+  topic_t *topic = g_hash_table_lookup (store->topics, name);
+
+  if (topic != NULL)
+    return topic;
+  topic = g_new0 (topic_t, 1);
+  topic->records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  g_hash_table_insert (store->topics, g_strdup (name), topic);
+  return topic;
+}
+
+static void
+put_number (GByteArray *to, uint64_t value, int bytes)
+{
+  for (int i = bytes - 1; i >= 0; i--)
+    {
+      uint8_t byte = (uint8_t)(value >> (8 * i));
+
+      g_byte_array_append (to, &byte, 1);
+    }
+}
+
+static void
+answer_read (cb_http_req_t *req, const topic_t *topic, uint64_t from)
+{
+  GByteArray *body = g_byte_array_new ();
+
+  put_number (body, topic->records->len, 8);
+  put_number (body, 0, 8);
+  for (uint64_t i = from; i < topic->records->len && body->len < MAX_ANSWER_BYTES; i++)
+    {
+      gsize size;
+      const void *data = g_bytes_get_data (topic->records->pdata[i], &size);
+
+      put_number (body, size, LENGTH_BYTES);
+      g_byte_array_append (body, data, (guint)size);
+    }
+  cb_http_reply (req, 200, "application/octet-stream", body->data, body->len);
+  g_byte_array_unref (body);
+}
+
+static void
+on_append (store_t *store, cb_http_req_t *req, topic_t *topic)
+{
+  size_t len;
+  const uint8_t *body = (const uint8_t *)cb_http_body (req, &len);
+  uint64_t first = topic->records->len;
+
+  for (size_t at = 0; at + LENGTH_BYTES <= len;)
+    {
+      size_t size = (size_t)body[at] << 24 | (size_t)body[at + 1] << 16 |
+                    (size_t)body[at + 2] << 8 | body[at + 3];
+
+      at += LENGTH_BYTES;
+      if (len - at < size)
+        {
+          cb_fake_reply (req, 400, json_object ());
+          return;
+        }
+      g_ptr_array_add (topic->records, g_bytes_new (body + at, size));
+      at += size;
+    }
+  if (cb_fake_take (&store->fake, "lose"))
+    {
+      cb_http_drop (req);
+      return;
+    }
+  cb_fake_reply (req, 200,
+                 json_pack ("{s:I,s:I}", "offset", (json_int_t)first, "end",
+                            (json_int_t)topic->records->len));
+}
+
+static void
+on_newest (cb_http_req_t *req, const topic_t *topic)
+{
+  json_t *items = json_array ();
+  GHashTable *seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint i = topic->records->len; i > 0; i--)
+    {
+      gsize size;
+      const uint8_t *data = g_bytes_get_data (topic->records->pdata[i - 1], &size);
+      char *key = g_strndup ((const char *)data + 1, data[0]);
+      char *value = g_base64_encode (data + 1 + data[0], size - 1 - data[0]);
+
+      if (!g_hash_table_contains (seen, key))
+        json_array_append_new (items, json_pack ("{s:s,s:s,s:i}", "key", key, "value",
+                                                 value, "offset", (int)i - 1));
+      g_hash_table_add (seen, key);
+      g_free (value);
+    }
+  g_hash_table_unref (seen);
+  cb_fake_reply (req, 200,
+                 json_pack ("{s:o,s:b,s:i}", "items", items, "more", 0, "end",
+                            (int)topic->records->len));
+}
+
+static void
+on_read (store_t *store, cb_http_req_t *req, topic_t *topic)
+{
+  const char *from = cb_http_query (req, "from");
+  const char *wait = cb_http_query (req, "waitMs");
+  waiting_t *waiting = g_new0 (waiting_t, 1);
+
+  waiting->req = req;
+  waiting->topic = topic;
+  waiting->from = from == NULL ? 0 : g_ascii_strtoull (from, NULL, 10);
+  waiting->due_ms = cb_clock_now (cb_clock_system ()) +
+                    (wait == NULL ? 0 : g_ascii_strtoll (wait, NULL, 10));
+  g_queue_push_tail (&store->waiting, waiting);
+}
+
+static void
+on_request (void *ctx, cb_http_req_t *req)
+{
+  store_t *store = ctx;
+  const char *path = cb_http_path (req);
+  const char *topic = cb_http_query (req, "topic");
+
+  if (cb_fake_control (&store->fake, req))
+    return;
+  if (cb_fake_take (&store->fake, "silent"))
+    cb_http_drop (req);
+  else if (cb_fake_take (&store->fake, "busy"))
+    cb_fake_reply (req, 503, json_object ());
+  else if (topic != NULL && strcmp (path, "/api/log-append") == 0)
+    on_append (store, req, get_topic (store, topic));
+  else if (topic != NULL && strcmp (path, "/api/log-read") == 0)
+    on_read (store, req, get_topic (store, topic));
+  else if (topic != NULL && strcmp (path, "/api/log-newest") == 0)
+    on_newest (req, get_topic (store, topic));
+  else
+    cb_fake_reply (req, 404, json_object ());
+}
+
+/* Answers reads whose record has come or whose time is over. */
+static void
+on_tick (void *ctx)
+{
+  store_t *store = ctx;
+  cb_msec_t now_ms = cb_clock_now (cb_clock_system ());
+  GList *link = store->waiting.head;
+
+  while (link != NULL)
+    {
+      GList *next = link->next;
+      waiting_t *waiting = link->data;
+
+      if (waiting->topic->records->len > waiting->from || now_ms >= waiting->due_ms)
+        {
+          answer_read (waiting->req, waiting->topic, waiting->from);
+          g_queue_delete_link (&store->waiting, link);
+          g_free (waiting);
+        }
+      link = next;
+    }
+}
+
+static void
+on_signal (void *ctx, int signo)
+{
+  (void)signo;
+  cb_loop_stop (((store_t *)ctx)->fake.loop);
+}
+
+static error_t
+parse (int key, char *arg, struct argp_state *state)
+{
+  cb_fake_params_t *params = state->input;
+
+  if (key == 'l')
+    params->listen = arg;
+  else if (key == 't')
+    params->trace_file = arg;
+  else if (key == ARGP_KEY_END && params->listen == NULL)
+    argp_error (state, "--listen is missing");
+  else
+    return key == ARGP_KEY_END ? 0 : ARGP_ERR_UNKNOWN;
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option options[] = {
+    { "listen", 'l', "ADDRESS", 0, "host:port", 0 },
+    { "trace", 't', "FILE", 0, "event trace", 0 },
+    { 0 },
+  };
+  static const struct argp argp = { .options = options,
+                                    .parser = parse,
+                                    .doc = "Stand-in for the platform's store." };
+  store_t store = { .topics = g_hash_table_new (g_str_hash, g_str_equal) };
+  cb_fake_params_t params = { .name = "store",
+                              .role = "store",
+                              .trace_file = "",
+                              .handler = on_request,
+                              .on_signal = on_signal,
+                              .ctx = &store };
+
+  if (argp_parse (&argp, argc, argv, 0, NULL, &params) != 0 ||
+      cb_fake_open (&store.fake, &params) < 0)
+    return 2;
+  g_queue_init (&store.waiting);
+  cb_timer_new (store.fake.loop, TICK_MS, TICK_MS, on_tick, &store);
+  cb_fake_run (&store.fake);
+  return 0;
+}
--- /dev/null
+++ b/test/platform_site.h
@@ -0,0 +1,281 @@
+// A site on the users' platform from real processes: a store, entries, agents, workers.
+// Its check reads from the workers' traces what has run.
+#ifndef CB_TEST_PLATFORM_SITE_H
+#define CB_TEST_PLATFORM_SITE_H
+
+#include <jansson.h>
+
+#include "test/port.h"
+#include "test/processes.h"
+
+namespace site
+{
+
+class PlatformSite : public Processes
+{
+public:
+  int entries;
+  int workers;
+  std::vector<std::string> callers; // addresses of entries
+  std::vector<std::string> ready;
+  std::vector<std::string> controls;  // of agents
+  std::vector<std::string> runners;   // addresses of workers
+  std::vector<std::string> store_via; // what each entry calls the store
+  std::string store = FreeAddress ();
+
+  // With LINKS, each entry and agent reaches the store through a relay of its own.
+  PlatformSite (int n_entries, int n_workers, bool links = false)
+      : entries (n_entries), workers (n_workers)
+  {
+    Start ("store", "carobrun-fake-store", { "--listen", store });
+    for (int i = 0; i < entries; i++)
+      {
+        callers.push_back (FreeAddress ());
+        ready.push_back (FreeAddress ());
+        StartEntry (i, Via ("entry" + std::to_string (i), links));
+      }
+    for (int i = 0; i < workers; i++)
+      {
+        std::string agent = "agent" + std::to_string (i);
+        std::string wire = FreeAddress ();
+        controls.push_back (FreeAddress ());
+        runners.push_back (FreeAddress ());
+        Write (agent, "name: " + agent + "\ncontrol_address: '" + controls[i] +
+                          "'\nwire_address: '" + wire + "'\nstore_address: '" +
+                          Via (agent, links) + "'\nhold_max_ms: 4000\ngrace_s: 6\n");
+        StartAgent (i);
+        StartRunner (i);
+      }
+    Publish (1);
+  }
+  void
+  StartEntry (int i, const std::string &via = "")
+  {
+    std::string name = "entry" + std::to_string (i);
+
+    if (!via.empty ())
+      Write (name, "name: " + name + "\ncaller_address: '" + callers[i] +
+                       "'\nready_address: '" + ready[i] + "'\nstore_address: '" + via +
+                       "'\nhold_max_ms: 4000\ngrace_s: 6\nstop_ms: 400\n"
+                       "reclaim_ms: 2900\nstatus_s: 120\nremote_slowdown: 3\n"
+                       "keep_s: 300\n");
+    Start (name, "carobrun", { "batch-entry", "--settings", Settings (name) });
+  }
+  void
+  StartAgent (int i)
+  {
+    std::string name = "agent" + std::to_string (i);
+
+    Start (name, "carobrun", { "batch-agent", "--settings", Settings (name) });
+  }
+  void
+  StartRunner (int i)
+  {
+    std::string name = "runner" + std::to_string (i);
+
+    Start (name, "carobrun-fake-runner",
+           { "--listen", runners[i], "--agent", controls[i], "--id",
+             "w" + std::to_string (i), "--rack", "r" + std::to_string (i / 3),
+             "--trace", dir_ + "/" + name + ".trace" });
+  }
+  // Writes a configuration with one queue of each of three priorities.
+  void
+  Publish (int version)
+  {
+    std::string text = "{\"version\":" + std::to_string (version) + ",\"routes\":[";
+    for (int p = 0; p < 3; p++)
+      text += std::string (p > 0 ? "," : "") + "{\"name\":\"q" + std::to_string (p) +
+              "\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/q" + std::to_string (p) +
+              "/\",\"priority\":" + std::to_string (p) +
+              ",\"service\":\"svc\",\"attempts\":3,\"stretch\":3,\"sloMs\":3000,"
+              "\"timeoutMs\":3000,\"public\":true}";
+    text += "],\"tenants\":[]}";
+    std::string record = std::string (1, 6) + "config" + text;
+    std::string body = { static_cast<char> (record.size () >> 24),
+                         static_cast<char> (record.size () >> 16),
+                         static_cast<char> (record.size () >> 8),
+                         static_cast<char> (record.size ()) };
+    Until ([&] {
+      return Call (store, "POST", "/api/log-append?topic=keyed.op&part=0",
+                   body + record, 2000)
+                 .status == 200;
+    });
+  }
+  bool
+  Up ()
+  {
+    return Until ([&] {
+      for (const auto &r : ready)
+        if (Call (r, "GET", "/api/readiness", "", 1000).status != 200)
+          return false;
+      return true;
+    });
+  }
+  static std::string
+  Id (int n)
+  {
+    char text[17];
+
+    snprintf (text, sizeof text, "%016x", n);
+    return text;
+  }
+  static std::string
+  Job (int count, int accelerators, const std::string &spec, bool gang = false)
+  {
+    return "{\"spec\":\"" + spec +
+           "\",\"steps\":[{\"count\":" + std::to_string (count) +
+           ",\"cpu\":1000,\"memMb\":100,\"gpu\":" + std::to_string (accelerators) +
+           ",\"estimateMs\":500" + (gang ? ",\"gang\":true" : "") + "}]}";
+  }
+  Reply
+  Submit (int entry, int id, int priority, const std::string &job)
+  {
+    return Call (callers[entry], "POST", Path (id, priority), job, 3000);
+  }
+  std::string
+  State (int entry, int id, int priority)
+  {
+    return Call (callers[entry], "GET", Path (id, priority), "", 3000).Text ("state");
+  }
+  static std::string
+  Path (int id, int priority)
+  {
+    return "/q" + std::to_string (priority) + "/" + Id (id);
+  }
+  // Entry that the logs show as the last to become scheduler, or -1.
+  int
+  Scheduler ()
+  {
+    int best = -1;
+    uint64_t epoch = 0;
+
+    for (int i = 0; i < entries; i++)
+      {
+        std::ifstream f (dir_ + "/entry" + std::to_string (i) + ".log");
+        std::string line;
+
+        while (std::getline (f, line))
+          {
+            size_t at = line.find ("event=scheduler_gained epoch=");
+            if (at == std::string::npos)
+              continue;
+            uint64_t e = strtoull (line.c_str () + at + 29, nullptr, 10);
+            if (e > epoch)
+              {
+                epoch = e;
+                best = i;
+              }
+          }
+      }
+    return best;
+  }
+  // What the workers' traces show; each violation is a failure of the test.
+  void
+  CheckRuns ()
+  {
+    struct Span
+    {
+      int64_t from, to;
+      std::string how;
+      std::string run;
+    };
+    std::map<std::string, std::vector<Span> > spans;
+    std::map<std::string, bool> seen; // task/run whose end `done` was acknowledged
+
+    for (int i = 0; i < workers; i++)
+      {
+        std::ifstream f (dir_ + "/runner" + std::to_string (i) + ".trace");
+        std::map<std::string, Span> open;
+        std::string line;
+
+        while (std::getline (f, line))
+          {
+            json_t *event = json_loads (line.c_str (), 0, nullptr);
+            if (event == nullptr)
+              continue;
+            std::string ev = json_string_value (json_object_get (event, "ev"));
+            int64_t t = json_integer_value (json_object_get (event, "t"));
+            const char *task = json_string_value (json_object_get (event, "task"));
+            const char *how = json_string_value (json_object_get (event, "how"));
+            std::string run =
+                std::to_string (json_integer_value (json_object_get (event, "run")));
+            if (ev == "start") // a new life: what ran in the earlier one is over
+              {
+                for (auto &o : open)
+                  spans[o.first].push_back ({ o.second.from, o.second.from, "", "" });
+                open.clear ();
+              }
+            else if (ev == "run_start")
+              open[task] = { t, INT64_MAX, "", run };
+            else if (ev == "run_end" && open.count (task))
+              {
+                spans[task].push_back ({ open[task].from, t, how, run });
+                open.erase (task);
+              }
+            else if (ev == "end_seen")
+              seen[std::string (task) + "/" + run] = true;
+            json_decref (event);
+          }
+        for (auto &o : open)
+          spans[o.first].push_back (o.second);
+      }
+    for (auto &s : spans)
+      for (size_t a = 0; a < s.second.size (); a++)
+        for (size_t b = 0; b < s.second.size (); b++)
+          {
+            const Span &x = s.second[a];
+            const Span &y = s.second[b];
+            if (a < b && x.from < y.to && y.from < x.to)
+              ADD_FAILURE () << s.first << " ran twice at a time: " << x.from << ".."
+                             << x.to << " and " << y.from << ".." << y.to;
+            if (a != b && x.how == "done" && y.from > x.to &&
+                seen.count (s.first + "/" + x.run))
+              ADD_FAILURE () << s.first << " ran at " << y.from
+                             << " after it was done at " << x.to;
+          }
+  }
+  // Runs of a job's tasks that ended so.
+  int
+  Ends (int id, const std::string &how)
+  {
+    int count = 0;
+
+    for (int i = 0; i < workers; i++)
+      {
+        std::ifstream f (dir_ + "/runner" + std::to_string (i) + ".trace");
+        std::string line;
+
+        while (std::getline (f, line))
+          count += line.find ("\"ev\":\"run_end\"") != std::string::npos &&
+                   line.find (Id (id)) != std::string::npos &&
+                   line.find ("\"how\":\"" + how + "\"") != std::string::npos;
+      }
+    return count;
+  }
+
+private:
+  std::string
+  Settings (const std::string &name) const
+  {
+    return dir_ + "/" + name + ".yaml";
+  }
+  void
+  Write (const std::string &name, const std::string &text)
+  {
+    std::ofstream (Settings (name)) << text;
+  }
+  std::string
+  Via (const std::string &name, bool links)
+  {
+    if (!links)
+      return store;
+    std::string address = FreeAddress ();
+    Start ("link-" + name, "carobrun-fake-link",
+           { "--listen", address, "--to", store });
+    return address;
+  }
+};
+
+} // namespace site
+
+#endif
--- /dev/null
+++ b/test/platform_site_test.cc
@@ -0,0 +1,181 @@
+// Guards the whole path on the users' platform with real processes: accepted work runs
+// once over kills, outages of the store and lost answers, and answers are truthful.
+#include "test/platform_site.h"
+
+using site::PlatformSite;
+
+namespace
+{
+
+TEST (PlatformSite, JobRunsFromSubmitToEnd)
+{
+  PlatformSite site (2, 2);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (2, 8, "run 300", true)).status, 200);
+  EXPECT_EQ (site.Submit (1, 1, 0, site.Job (2, 8, "run 300", true)).status, 200);
+  EXPECT_EQ (site.Submit (1, 2, 1, site.Job (1, 1, "fail 50")).status, 200);
+  EXPECT_TRUE (site.Until ([&] {
+    return site.State (0, 1, 0) == "completed" && site.State (1, 2, 1) == "failed";
+  }));
+  EXPECT_EQ (site.Ends (1, "done"), 2);
+  EXPECT_EQ (site.Ends (2, "failed"), 3);
+  EXPECT_EQ (site.Call (site.callers[0], "GET", "/q0/" + site.Id (99)).status, 410);
+  EXPECT_EQ (site.Call (site.callers[0], "GET", "/none/" + site.Id (1)).status, 404);
+  EXPECT_EQ (site.Call (site.callers[0], "DELETE", site.Path (1, 0)).status, 200);
+  site.CheckRuns ();
+}
+
+TEST (PlatformSite, KilledSchedulerIsReplacedAndWorkGoesOn)
+{
+  PlatformSite site (3, 2);
+
+  ASSERT_TRUE (site.Up ());
+  ASSERT_TRUE (site.Until ([&] { return site.Scheduler () >= 0; }));
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (2, 4, "run 4000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "running"; }));
+  int old = site.Scheduler ();
+  int other = (old + 1) % 3;
+  site.Kill ("entry" + std::to_string (old));
+  EXPECT_EQ (site.Submit (other, 2, 0, site.Job (1, 4, "run 100")).status, 200);
+  EXPECT_TRUE (site.Until ([&] {
+    return site.State (other, 1, 0) == "completed" &&
+           site.State (other, 2, 0) == "completed";
+  }));
+  EXPECT_NE (site.Scheduler (), old);
+  EXPECT_EQ (site.Ends (1, "done"), 2);
+  EXPECT_EQ (site.Ends (1, "lapsed"), 0);
+  site.CheckRuns ();
+}
+
+// A refusal while the store is away must be true, and come before the caller's timeout.
+TEST (PlatformSite, StoreOutageIsRefusedAndTheJobNeverRuns)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.store, "{\"mode\":\"busy\"}");
+  site::Reply reply = site.Submit (0, 1, 0, site.Job (1, 1, "run 50"));
+  EXPECT_EQ (reply.status, 503);
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status == 200; }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 0);
+  EXPECT_EQ (site.State (0, 1, 0), "unknown");
+}
+
+// The store took a record and its answer was lost: no refusal says that it did not run.
+TEST (PlatformSite, LostAnswerOfTheStoreIsNoRefusal)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.store, "{\"mode\":\"lose\",\"count\":1}");
+  site::Reply reply = site.Submit (0, 1, 0, site.Job (1, 1, "run 50"));
+  EXPECT_TRUE (reply.status == 200 || reply.status == 504) << reply.status;
+  EXPECT_TRUE (site.Until ([&] {
+    site.Submit (0, 1, 0, site.Job (1, 1, "run 50"));
+    return site.State (0, 1, 0) == "completed";
+  }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+  site.CheckRuns ();
+}
+
+TEST (PlatformSite, RestartedAgentLeavesTheWorkersTasksAlone)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 3000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "running"; }));
+  site.Kill ("agent0");
+  site.StartAgent (0);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+  EXPECT_EQ (site.Ends (1, "lapsed"), 0);
+  site.CheckRuns ();
+}
+
+TEST (PlatformSite, RestartedWorkerRunsItsTasksAgain)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 1500")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "running"; }));
+  site.Kill ("runner0");
+  site.StartRunner (0);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+}
+
+TEST (PlatformSite, ColdStartOfAllEntriesKeepsAcceptedWork)
+{
+  PlatformSite site (2, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 2000")).status, 200);
+  EXPECT_EQ (site.Submit (1, 2, 1, site.Job (1, 8, "run 100")).status, 200);
+  site.Kill ("entry0");
+  site.Kill ("entry1");
+  site.StartEntry (0);
+  site.StartEntry (1);
+  EXPECT_TRUE (site.Until ([&] {
+    return site.State (0, 1, 0) == "completed" && site.State (1, 2, 1) == "completed";
+  }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+  EXPECT_EQ (site.Ends (2, "done"), 1);
+  site.CheckRuns ();
+}
+
+// The silent connections are noticed by time alone.
+TEST (PlatformSite, SilentConnectionsToTheStoreAreReplaced)
+{
+  PlatformSite site (2, 1, true);
+
+  ASSERT_TRUE (site.Up ());
+  for (const char *link : { "link-entry0", "link-entry1", "link-agent0" })
+    site.Signal (link, SIGUSR1);
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status == 200; }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (1, 1, 0) == "completed"; }));
+  site.CheckRuns ();
+}
+
+// A planned stop answers what it has taken and hands the scheduler's role over.
+TEST (PlatformSite, StoppedEntryEndsInTimeAndHandsOver)
+{
+  PlatformSite site (2, 1);
+
+  ASSERT_TRUE (site.Up ());
+  ASSERT_TRUE (site.Until ([&] { return site.Scheduler () >= 0; }));
+  int old = site.Scheduler ();
+  EXPECT_EQ (site.Submit (old, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  EXPECT_EQ (site.Term ("entry" + std::to_string (old)), 0);
+  EXPECT_TRUE (site.Until ([&] { return site.Scheduler () == 1 - old; }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (1 - old, 1, 0) == "completed"; }));
+}
+
+// Standard output that nobody reads must not stop the entry.
+TEST (PlatformSite, FullLogPipeDoesNotBlock)
+{
+  PlatformSite site (1, 1);
+  std::string fifo = site.Dir () + "/entry0.log";
+
+  ASSERT_TRUE (site.Up ());
+  site.Kill ("entry0");
+  ASSERT_EQ (unlink (fifo.c_str ()), 0);
+  ASSERT_EQ (mkfifo (fifo.c_str (), 0600), 0);
+  int reader = open (fifo.c_str (), O_RDONLY | O_NONBLOCK);
+  ASSERT_GE (reader, 0);
+  site.StartEntry (0);
+  ASSERT_TRUE (site.Up ());
+  for (int i = 0; i < 1500; i++)
+    EXPECT_EQ (site.Call (site.callers[0], "GET", "/none/" + site.Id (i)).status, 404);
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  close (reader);
+}
+
+} // namespace
