--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -4,8 +4,8 @@
 
 /* Without a record of the scheduler for this long, another entry claims its role. It
    writes at least one each BEAT_MS. */
-#define SILENCE_MS 1400
-#define BEAT_MS 400
+#define SILENCE_MS 1000
+#define BEAT_MS 250
 /* Entries claim one after the other, so that one claim is enough: up to this many ms
    apart, by a hash of their names. */
 #define STAGGER_MS 250
