--- a/batch/local.h
+++ b/batch/local.h
@@ -36,6 +36,7 @@
   cb_msec_t percent_ms;    /* when it last changed */
   const worker_t *planned; /* is being emptied for the task; only to be compared */
   cb_msec_t planned_ms;
+  cb_msec_t not_before_ms; /* after a start that was rejected */
   /* Place. */
   job_t *job;
   uint32_t occurrence;
--- a/batch/place.c
+++ b/batch/place.c
@@ -47,7 +47,7 @@
     return demand->late ? 1 : 0;
   if (demand->late)
     return LATE_RANK + priority;
-  return (demand->at_risk ? AT_RISK_RANK : WAITING_RANK) + priority;
+  return demand->at_risk ? AT_RISK_RANK : WAITING_RANK + priority;
 }
 
 static int
@@ -115,13 +115,14 @@
 
 /* Lists the tasks of a step that wait for a start; the caller frees the list. */
 static task_t **
-waiting_tasks (step_state_t *step, uint32_t *count)
+waiting_tasks (step_state_t *step, cb_msec_t now_ms, uint32_t *count)
 {
   task_t **tasks = g_new0 (task_t *, MAX (1, step->count));
 
   *count = 0;
   for (uint32_t t = 0; t < step->count; t++)
-    if (step->tasks[t].state == TASK_WAITING && !step->tasks[t].proposed_start)
+    if (step->tasks[t].state == TASK_WAITING && !step->tasks[t].proposed_start &&
+        now_ms >= step->tasks[t].not_before_ms)
       tasks[(*count)++] = &step->tasks[t];
   return tasks;
 }
@@ -261,7 +262,7 @@
       &demand->job->occurrences[demand->occurrence].steps[demand->step];
   const Cb__BatchStep *spec = demand->job->spec->steps[demand->step];
   uint32_t count;
-  task_t **tasks = waiting_tasks (step, &count);
+  task_t **tasks = waiting_tasks (step, now_ms, &count);
   uint32_t wave = (step->count + MAX (1, step->waves) - 1) / MAX (1, step->waves);
 
   if (spec->gang && count > 0 && count == step->count)
--- a/batch/state.c
+++ b/batch/state.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Pause in ms before a task whose start was rejected is placed again, so that a worker
+   that refuses everything causes no storm of records. */
+#define REJECTED_PAUSE_MS 250
+
 static void
 free_job (void *ptr)
 {
@@ -460,6 +464,8 @@
     }
   else if (end->how == CB__RUN_END__RUN_FAILED)
     count_failure (b, task, wall_ms);
+  else if (end->how == CB__RUN_END__RUN_REJECTED)
+    task->not_before_ms = now_ms + REJECTED_PAUSE_MS;
   if (task->job->open_runs == 0)
     task->job->idle_ms = now_ms;
   b->dirty = TRUE;
--- a/test/man_test.cc
+++ b/test/man_test.cc
@@ -142,6 +142,8 @@
   ExpectFields (ReadFile ("man/carobrun-inventory.5"), &cb__inventory__descriptor, "");
   ExpectFields (ReadFile ("man/carobrun-rules.5"), &cb__rules__descriptor, "");
   ExpectFields (ReadFile ("man/carobrun-settings.5"), &cb__settings__descriptor, "");
+  ExpectFields (ReadFile ("man/carobrun-platform.5"),
+                &cb__platform_settings__descriptor, "");
 }
 
 TEST (Man, EveryEventOfTheTraceIsExplained)
