--- a/batch/fns.h
+++ b/batch/fns.h
@@ -50,6 +50,7 @@
                       const Cb__WorkerReport *report, cb_msec_t now_ms);
 
 void cb_batch_tick (cb_batch_t *batch, cb_msec_t now_ms, cb_msec_t wall_ms);
+void cb_batch_fill_beat (const cb_batch_t *batch, Cb__BatchBeat *beat);
 Cb__BatchRecord *cb_batch_take_record (cb_batch_t *batch);
 void cb_batch_not_stored (cb_batch_t *batch, const Cb__BatchRecord *record);
 gboolean cb_batch_orders_changed (cb_batch_t *batch, const char *agent);
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -464,6 +464,45 @@
   place_all (b, now_ms, wall_ms);
 }
 
+static Cb__FleetSums *
+fleet_of (Cb__BatchBeat *beat, const char *service)
+{
+  Cb__FleetSums *sums;
+
+  for (size_t i = 0; i < beat->n_fleet; i++)
+    if (strcmp (beat->fleet[i]->service, service) == 0)
+      return beat->fleet[i];
+  sums = cb_msg_new (&cb__fleet_sums__descriptor);
+  cb_msg_set_string (&sums->service, service);
+  cb_msg_append ((void ***)&beat->fleet, &beat->n_fleet, sums);
+  return sums;
+}
+
+/* Adds the sums of the workers that can be used to BEAT. */
+void
+cb_batch_fill_beat (const cb_batch_t *b, Cb__BatchBeat *beat)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *w = value;
+      Cb__FleetSums *sums;
+
+      if (!w->listed || w->gone || w->draining)
+        continue;
+      sums = fleet_of (beat, w->service);
+      sums->workers++;
+      sums->worker_cpu_milli = MAX (sums->worker_cpu_milli, w->cpu_milli);
+      sums->worker_memory_mb = MAX (sums->worker_memory_mb, w->memory_mb);
+      sums->worker_accelerators = MAX (sums->worker_accelerators, w->accelerators);
+      sums->cpu_milli += w->cpu_milli;
+      sums->accelerators += w->accelerators;
+    }
+}
+
 /* Returns the next record to append, or NULL; the caller owns it. */
 Cb__BatchRecord *
 cb_batch_take_record (cb_batch_t *b)
--- a/batch/local.h
+++ b/batch/local.h
@@ -141,6 +141,7 @@
   GHashTable *workers; /* id/born -> worker_t */
   GHashTable *agents;  /* name -> agent_t */
   GHashTable *learned; /* queue -> learned_t */
+  GHashTable *fleet;   /* service -> Cb__FleetSums, of the scheduler's newest beat */
   uint64_t epoch;      /* of the accepted claim; 0: none yet */
   char *scheduler;
   gboolean resigned;
--- a/batch/state.c
+++ b/batch/state.c
@@ -68,6 +68,7 @@
   b->workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_worker);
   b->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_agent);
   b->learned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  b->fleet = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cb_msg_free);
   b->scheduler = g_strdup ("");
   g_queue_init (&b->open);
   g_queue_init (&b->records);
@@ -85,6 +86,7 @@
   g_hash_table_unref (b->workers);
   g_hash_table_unref (b->agents);
   g_hash_table_unref (b->learned);
+  g_hash_table_unref (b->fleet);
   cb_batch_config_unref (b->config);
   g_free (b->scheduler);
   g_free (b);
@@ -471,6 +473,21 @@
   b->dirty = TRUE;
 }
 
+static void
+apply_beat (cb_batch_t *b, const Cb__BatchBeat *beat)
+{
+  b->resigned = beat->resigns;
+  if (beat->n_fleet == 0)
+    return;
+  g_hash_table_remove_all (b->fleet);
+  for (size_t i = 0; i < beat->n_fleet; i++)
+    {
+      Cb__FleetSums *sums = (Cb__FleetSums *)cb_msg_copy (&beat->fleet[i]->base);
+
+      g_hash_table_replace (b->fleet, sums->service, sums);
+    }
+}
+
 /* Applies the record at OFFSET. A scheduler's record counts only when it is of the
    current epoch. Records are idempotent: one that was appended twice has no second
    effect. */
@@ -505,7 +522,7 @@
         apply_end (b, record->ends->ends[i], now_ms, wall_ms);
       return;
     case CB__BATCH_RECORD__BODY_BEAT:
-      b->resigned = record->beat->resigns;
+      apply_beat (b, record->beat);
       return;
     default:
       cb_event (CB_LOG_WARN, "batch", "record_unknown", "offset=%" G_GUINT64_FORMAT,
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -148,6 +148,7 @@
   record->epoch = entry->own_epoch;
   record->beat = cb_msg_new (&cb__batch_beat__descriptor);
   record->beat->resigns = resigns;
+  cb_batch_fill_beat (entry->batch, record->beat);
   entry->append_ms = now_ms;
   cb_batch_append (entry, record, NULL, NULL);
 }
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &cb__batch_ends__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cb__fleet_sums__init
+                     (Cb__FleetSums         *message)
+{
+  static const Cb__FleetSums init_value = CB__FLEET_SUMS__INIT;
+  *message = init_value;
+}
+size_t cb__fleet_sums__get_packed_size
+                     (const Cb__FleetSums *message)
+{
+  assert(message->base.descriptor == &cb__fleet_sums__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cb__fleet_sums__pack
+                     (const Cb__FleetSums *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cb__fleet_sums__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cb__fleet_sums__pack_to_buffer
+                     (const Cb__FleetSums *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cb__fleet_sums__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cb__FleetSums *
+       cb__fleet_sums__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cb__FleetSums *)
+     protobuf_c_message_unpack (&cb__fleet_sums__descriptor,
+                                allocator, len, data);
+}
+void   cb__fleet_sums__free_unpacked
+                     (Cb__FleetSums *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cb__fleet_sums__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cb__batch_beat__init
                      (Cb__BatchBeat         *message)
 {
@@ -1910,7 +1955,123 @@
   (ProtobufCMessageInit) cb__batch_ends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_beat__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cb__fleet_sums__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cb__FleetSums, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__FleetSums, workers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_cpu_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__FleetSums, worker_cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_memory_mb",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__FleetSums, worker_memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_accelerators",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__FleetSums, worker_accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cb__FleetSums, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cb__FleetSums, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cb__fleet_sums__field_indices_by_name[] = {
+  6,   /* field[6] = accelerators */
+  5,   /* field[5] = cpu_milli */
+  0,   /* field[0] = service */
+  4,   /* field[4] = worker_accelerators */
+  2,   /* field[2] = worker_cpu_milli */
+  3,   /* field[3] = worker_memory_mb */
+  1,   /* field[1] = workers */
+};
+static const ProtobufCIntRange cb__fleet_sums__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor cb__fleet_sums__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cb.FleetSums",
+  "FleetSums",
+  "Cb__FleetSums",
+  "cb",
+  sizeof(Cb__FleetSums),
+  7,
+  cb__fleet_sums__field_descriptors,
+  cb__fleet_sums__field_indices_by_name,
+  1,  cb__fleet_sums__number_ranges,
+  (ProtobufCMessageInit) cb__fleet_sums__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cb__batch_beat__field_descriptors[2] =
 {
   {
     "resigns",
@@ -1924,14 +2085,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cb__BatchBeat, n_fleet),
+    offsetof(Cb__BatchBeat, fleet),
+    &cb__fleet_sums__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_beat__field_indices_by_name[] = {
+  1,   /* field[1] = fleet */
   0,   /* field[0] = resigns */
 };
 static const ProtobufCIntRange cb__batch_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cb__batch_beat__descriptor =
 {
@@ -1941,7 +2115,7 @@
   "Cb__BatchBeat",
   "cb",
   sizeof(Cb__BatchBeat),
-  1,
+  2,
   cb__batch_beat__field_descriptors,
   cb__batch_beat__field_indices_by_name,
   1,  cb__batch_beat__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Cb__BatchAgent Cb__BatchAgent;
 typedef struct Cb__BatchStarts Cb__BatchStarts;
 typedef struct Cb__BatchEnds Cb__BatchEnds;
+typedef struct Cb__FleetSums Cb__FleetSums;
 typedef struct Cb__BatchBeat Cb__BatchBeat;
 typedef struct Cb__BatchRecord Cb__BatchRecord;
 typedef struct Cb__BatchTaskState Cb__BatchTaskState;
@@ -281,14 +282,41 @@
     , 0,NULL }
 
 
+/*
+ * Workers of one service that the scheduler can use; entries decide on admission by it.
+ */
+struct  Cb__FleetSums
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t workers;
+  /*
+   * largest of one worker
+   */
+  uint32_t worker_cpu_milli;
+  uint32_t worker_memory_mb;
+  uint32_t worker_accelerators;
+  /*
+   * of all
+   */
+  uint64_t cpu_milli;
+  uint64_t accelerators;
+};
+#define CB__FLEET_SUMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cb__fleet_sums__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Cb__BatchBeat
 {
   ProtobufCMessage base;
   protobuf_c_boolean resigns;
+  size_t n_fleet;
+  Cb__FleetSums **fleet;
 };
 #define CB__BATCH_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_beat__descriptor) \
-    , 0 }
+    , 0, 0,NULL }
 
 
 typedef enum {
@@ -773,6 +801,25 @@
 void   cb__batch_ends__free_unpacked
                      (Cb__BatchEnds *message,
                       ProtobufCAllocator *allocator);
+/* Cb__FleetSums methods */
+void   cb__fleet_sums__init
+                     (Cb__FleetSums         *message);
+size_t cb__fleet_sums__get_packed_size
+                     (const Cb__FleetSums   *message);
+size_t cb__fleet_sums__pack
+                     (const Cb__FleetSums   *message,
+                      uint8_t             *out);
+size_t cb__fleet_sums__pack_to_buffer
+                     (const Cb__FleetSums   *message,
+                      ProtobufCBuffer     *buffer);
+Cb__FleetSums *
+       cb__fleet_sums__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cb__fleet_sums__free_unpacked
+                     (Cb__FleetSums *message,
+                      ProtobufCAllocator *allocator);
 /* Cb__BatchBeat methods */
 void   cb__batch_beat__init
                      (Cb__BatchBeat         *message);
@@ -1033,6 +1080,9 @@
 typedef void (*Cb__BatchEnds_Closure)
                  (const Cb__BatchEnds *message,
                   void *closure_data);
+typedef void (*Cb__FleetSums_Closure)
+                 (const Cb__FleetSums *message,
+                  void *closure_data);
 typedef void (*Cb__BatchBeat_Closure)
                  (const Cb__BatchBeat *message,
                   void *closure_data);
@@ -1086,6 +1136,7 @@
 extern const ProtobufCMessageDescriptor cb__batch_agent__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_starts__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_ends__descriptor;
+extern const ProtobufCMessageDescriptor cb__fleet_sums__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_beat__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_record__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_task_state__descriptor;
