--- a/batch/lead.c
+++ b/batch/lead.c
@@ -4,6 +4,15 @@
 
 /* Longest pause between two placements in ms, when nothing has changed. */
 #define PLACE_EVERY_MS 100
+/* A run whose progress has not changed for this long in ms stands still; reports come
+   twice a second, and 1% of the shortest work takes 5 ms. Urgent work is moved at once,
+   other work when it has not done much or keeps its progress. */
+#define STALL_URGENT_MS 1500
+#define STALL_MS 3500
+#define STALL_PERCENT 50
+/* A worker with a run that stands still gets no new work for this long in ms while
+   there is another. */
+#define STALL_AVOID_MS 4000
 
 static cb_msec_t
 lease_over (const cb_batch_t *b, cb_msec_t granted_ms)
@@ -411,6 +420,36 @@
     }
 }
 
+static void
+check_progress (cb_batch_t *b, worker_t *w, task_t *task, cb_msec_t now_ms)
+{
+  const Cb__BatchStep *spec = task_spec (task);
+  cb_msec_t still_ms = now_ms - task->percent_ms;
+  gboolean urgent = task->job->spec->priority == 0;
+
+  if (task->state != TASK_STARTED || !task->seen || task->stop || spec->daemon ||
+      task->percent == 0 || still_ms < STALL_URGENT_MS)
+    return;
+  if (w->avoid_until_ms < now_ms)
+    cb_event (CB_LOG_WARN, "batch", "run_stalled",
+              "job=%s task=%u.%u.%u run=%u worker=%s percent=%u still_ms=%" PRId64,
+              task->job->spec->id, task->occurrence, task->step, task->index, task->run,
+              w->id, task->percent, still_ms);
+  w->avoid_until_ms = now_ms + STALL_AVOID_MS;
+  if (urgent || (still_ms > STALL_MS && (spec->saves || task->percent < STALL_PERCENT)))
+    stop_task (b, task, now_ms, "stalled");
+}
+
+/* Looks for runs that stand still although their worker answers. */
+static void
+find_stalls (cb_batch_t *b, worker_t *w, cb_msec_t now_ms)
+{
+  if (!w->listed || now_ms - w->report_ms > STALL_URGENT_MS / 2)
+    return;
+  for (guint i = 0; i < w->tasks->len; i++)
+    check_progress (b, w, w->tasks->pdata[i], now_ms);
+}
+
 static void
 stop_ended_jobs (cb_batch_t *b, cb_msec_t now_ms)
 {
@@ -454,6 +493,7 @@
       check_lease (b, value, now_ms);
       save_before_leaving (b, value, now_ms);
       stop_broken_gangs (b, value, now_ms);
+      find_stalls (b, value, now_ms);
     }
   g_hash_table_foreach_remove (b->workers, is_forgotten, NULL);
   stop_ended_jobs (b, now_ms);
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -362,6 +362,12 @@
     if (static_cast<uint64_t> (now) > w.lease_ms)
       while (!w.running.empty ())
         Finish (w, w.running.begin ()->first, CB__RUN_END__RUN_LAPSED, "");
+    for (auto &r : w.running)
+      if (w.stuck)
+        {
+          r.second.began_ms += 10;
+          r.second.ends_ms += 10;
+        }
     std::vector<std::string> due;
     for (const auto &r : w.running)
       if (!w.stuck && now >= r.second.ends_ms)
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -179,6 +179,24 @@
   EXPECT_EQ (site.Running ("j"), 0);
 }
 
+// A worker that answers but makes no progress must not hold urgent work.
+TEST (Batch, UrgentRunThatStandsStillIsMoved)
+{
+  BatchSite site (2, 2);
+
+  site.length_ms["u"] = 3000;
+  site.Submit ("u", 0, { { 1, 8 } });
+  site.Advance (1000);
+  Worker *first = site.workers[0]->running.empty () ? site.workers[1].get ()
+                                                    : site.workers[0].get ();
+  first->stuck = true;
+  site.Advance (2500);
+  EXPECT_EQ (first->running.size (), 0u);
+  EXPECT_EQ (site.Running ("u"), 1);
+  site.Advance (3500);
+  EXPECT_EQ (site.Status ("u"), CB_JOB_COMPLETED);
+}
+
 TEST (Batch, DrainingWorkerGetsNoWork)
 {
   BatchSite site (2, 2);
