Stop runs of a worker's earlier life in its next one before they run elsewhere

Ruled out: the lease, as a new life's clock starts anew, and the instance header, which names the id alone. Now the new life is told to stop all runs of the earlier one, after which it rejects them, and only then they count as lost; if it does not answer, after the lease. batch_test fails without the change.

--- a/batch/lead.c
+++ b/batch/lead.c
@@ -67,6 +67,7 @@
 
       w->listed = FALSE;
       w->gone = FALSE;
+      w->successor = NULL;
       w->clock_ms = 0;
       w->last_seen = 0;
       w->orders_changed = TRUE;
@@ -197,9 +198,10 @@
 }
 
 /* Another life of the worker, or another worker, is at the agent now: what ran in the
-   earlier one is over. */
+   earlier one is over. A start that was sent to an earlier life under the same id may
+   be carried out by the new one, which is told to stop it first. */
 static void
-replace_workers (cb_batch_t *b, const char *agent, const worker_t *current)
+replace_workers (cb_batch_t *b, const char *agent, worker_t *current)
 {
   GHashTableIter iter;
   gpointer value;
@@ -209,7 +211,14 @@
     {
       worker_t *w = value;
 
-      if (w == current || w->gone || strcmp (w->agent, agent) != 0)
+      if (w == current || strcmp (w->agent, agent) != 0)
+        continue;
+      if (strcmp (w->id, current->id) == 0)
+        {
+          current->orders_changed = current->orders_changed || w->successor != current;
+          w->successor = current;
+        }
+      if (w->gone)
         continue;
       w->gone = TRUE;
       cb_event_always (CB_LOG_INFO, "batch", "worker_gone",
@@ -326,6 +335,9 @@
 
       if (is_current (task, w, report->absent[i]) && task->stop)
         propose_end (b, task, CB__RUN_END__RUN_STOPPED, task->live_saved);
+      else if (task != NULL && task->worker != NULL && task->worker->successor == w &&
+               is_current (task, task->worker, report->absent[i]))
+        propose_end (b, task, CB__RUN_END__RUN_LOST, task->live_saved);
     }
 }
 
@@ -374,12 +386,12 @@
 {
   if (w->lease_over_ms == 0)
     w->lease_over_ms = lease_over (b, now_ms);
-  if (w->gone)
+  if (w->gone && (w->successor == NULL || now_ms >= w->lease_over_ms))
     {
       end_all (b, w);
       return;
     }
-  if (now_ms < w->lease_over_ms)
+  if (w->gone || now_ms < w->lease_over_ms)
     return;
   if (w->listed || w->tasks->len > 0)
     cb_event (CB_LOG_WARN, "batch", "worker_lapsed",
@@ -467,14 +479,26 @@
     }
 }
 
+static gboolean
+has_predecessor (const cb_batch_t *b, const worker_t *w)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const worker_t *)value)->successor == w)
+      return TRUE;
+  return FALSE;
+}
+
 static gboolean
 is_forgotten (gpointer key, gpointer value, gpointer data)
 {
   const worker_t *w = value;
 
   (void)key;
-  (void)data;
-  return w->gone && w->tasks->len == 0;
+  return w->gone && w->tasks->len == 0 && !has_predecessor (data, w);
 }
 
 /* Handles what is due and places waiting tasks. Call often; does nothing unless this
@@ -495,7 +519,7 @@
       stop_broken_gangs (b, value, now_ms);
       find_stalls (b, value, now_ms);
     }
-  g_hash_table_foreach_remove (b->workers, is_forgotten, NULL);
+  g_hash_table_foreach_remove (b->workers, is_forgotten, b);
   stop_ended_jobs (b, now_ms);
   if (!b->dirty && now_ms - b->placed_ms < PLACE_EVERY_MS)
     return;
@@ -619,6 +643,31 @@
   cb_msg_append ((void ***)&orders->starts, &orders->n_starts, start);
 }
 
+/* Adds stops for runs of earlier lives of W, which may have been started in this one.
+ */
+static void
+add_stops_of_earlier_lives (const cb_batch_t *b, Cb__WorkerOrders *orders,
+                            const worker_t *w)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *earlier = value;
+
+      for (guint i = 0; earlier->successor == w && i < earlier->tasks->len; i++)
+        {
+          const task_t *task = earlier->tasks->pdata[i];
+
+          if (task->state == TASK_STARTED)
+            cb_msg_append ((void ***)&orders->stops, &orders->n_stops,
+                           task_run_new (task, task->run));
+        }
+    }
+}
+
 /* Returns all that AGENT has to do. With MAY_GRANT the lease of its worker is extended
    from the worker's clock in its last report, so that a delayed message extends it no
    further. The caller frees the message. */
@@ -651,6 +700,7 @@
       else if (!task->seen && !task->proposed_end)
         add_start (orders, task);
     }
+  add_stops_of_earlier_lives (b, orders, w);
   for (guint i = 0; i < w->strays->len; i++)
     cb_msg_append ((void ***)&orders->stops, &orders->n_stops,
                    cb_msg_copy (w->strays->pdata[i]));
--- a/batch/local.h
+++ b/batch/local.h
@@ -92,7 +92,10 @@
   /* Of the scheduler only. */
   gboolean listed; /* it has given its lists in this epoch */
   gboolean draining;
-  gboolean gone;     /* ended, or another one took its place */
+  gboolean gone; /* ended, or another one took its place */
+  /* Its next life under the same id: a call for this life may still be carried out
+     there. NULL: none. */
+  worker_t *successor;
   uint64_t clock_ms; /* its own clock at the last report */
   cb_msec_t drain_left_ms;
   cb_msec_t report_ms;     /* when its last lists came */
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -20,7 +20,7 @@
   uint32_t run = 0;
   cb_msec_t ends_ms = 0;
   cb_msec_t began_ms = 0;
-  Cb__BatchStep step;
+  Cb__BatchStep step = CB__BATCH_STEP__INIT;
 };
 
 struct End
@@ -290,6 +290,19 @@
   {
     cb_batch_report (active, w.agent.c_str (), last_report[w.id].get (), now);
   }
+  // A start for an earlier life of W is carried out by this one.
+  void
+  LateStart (Worker &w, const std::string &task, uint32_t number)
+  {
+    Run run;
+
+    run.task = task;
+    run.run = number;
+    run.began_ms = now;
+    run.ends_ms = now + 5000;
+    w.lease_ms = static_cast<uint64_t> (now + params.hold_max_ms);
+    w.running[task] = run;
+  }
   void
   Crash (Worker &w)
   {
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -106,6 +106,24 @@
   EXPECT_EQ (site.Status ("j"), CB_JOB_COMPLETED);
 }
 
+// Guards against a second run beside one that the next life of a worker started for the
+// earlier one (soak seed 144).
+TEST (Batch, StartCarriedOutByTheNextLifeIsStoppedFirst)
+{
+  BatchSite site (2, 2);
+
+  site.length_ms["j"] = 2000;
+  site.Submit ("j", 0, { { 1, 8 } });
+  site.Advance (20);
+  Worker *first = site.workers[0]->running.empty () ? site.workers[1].get ()
+                                                    : site.workers[0].get ();
+  ASSERT_EQ (first->running.size (), 1u);
+  site.Crash (*first);
+  site.LateStart (*first, "j.0.0.0", 1);
+  site.Advance (4000);
+  EXPECT_EQ (site.Status ("j"), CB_JOB_COMPLETED);
+}
+
 TEST (Batch, TakeoverKeepsRunningWorkAndIgnoresTheEarlierScheduler)
 {
   BatchSite site (3, 3);
