--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -4,8 +4,9 @@
 
 /* An answer that depends on the log's tail may be as old as this. */
 #define VIEW_AGE_MS 2500
-/* Longest time without the log before new work is refused at once. */
-#define LOG_SILENT_MS 2000
+/* Without the log for this long, new work is refused at once. Before, it waits for the
+   log within its own time, as most outages are shorter than a caller's retries. */
+#define LOG_SILENT_MS 12000
 /* An entry that has not read the log or the configuration for this long is not ready.
  */
 #define READY_AGE_MS 3000
