Pass requests on to another entry when this one has lost the log

Such an entry now relays to one that reads the log and knows as new a configuration; when none can serve, it answers itself.

--- a/batch/fns.h
+++ b/batch/fns.h
@@ -35,6 +35,10 @@
                           void (*fn) (void *ctx, const char *name, const char *address),
                           void *ctx);
 
+void cb_batch_each_entry (const cb_batch_t *batch,
+                          void (*fn) (void *ctx, const char *name, const char *address),
+                          void *ctx);
+
 /* snapshot.c */
 Cb__BatchSnapshot *cb_batch_save (const cb_batch_t *batch, uint64_t next);
 void cb_batch_load (cb_batch_t *batch, const Cb__BatchSnapshot *snapshot,
--- a/batch/local.h
+++ b/batch/local.h
@@ -124,6 +124,7 @@
 {
   char *name;
   char *address;
+  gboolean entry;
 } agent_t;
 
 /* Run times of a queue's tasks, learned from ends. */
--- a/batch/snapshot.c
+++ b/batch/snapshot.c
@@ -67,6 +67,7 @@
 
       cb_msg_set_string (&message->name, agent->name);
       cb_msg_set_string (&message->address, agent->address);
+      message->entry = agent->entry;
       cb_msg_append ((void ***)&snapshot->agents, &snapshot->n_agents, message);
     }
   return snapshot;
--- a/batch/state.c
+++ b/batch/state.c
@@ -361,6 +361,7 @@
     }
   g_free (agent->address);
   agent->address = g_strdup (message->address);
+  agent->entry = message->entry;
 }
 
 static void
@@ -623,16 +624,37 @@
     }
 }
 
+static void
+each_process (const cb_batch_t *b, gboolean entries,
+              void (*fn) (void *ctx, const char *name, const char *address), void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const agent_t *agent = value;
+
+      if (agent->entry == entries)
+        fn (ctx, agent->name, agent->address);
+    }
+}
+
 /* Calls FN for each agent that has registered. */
 void
 cb_batch_each_agent (const cb_batch_t *b,
                      void (*fn) (void *ctx, const char *name, const char *address),
                      void *ctx)
 {
-  GHashTableIter iter;
-  gpointer value;
+  each_process (b, FALSE, fn, ctx);
+}
 
-  g_hash_table_iter_init (&iter, b->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    fn (ctx, ((agent_t *)value)->name, ((agent_t *)value)->address);
+/* Calls FN for each entry that has registered, with the address for callers. */
+void
+cb_batch_each_entry (const cb_batch_t *b,
+                     void (*fn) (void *ctx, const char *name, const char *address),
+                     void *ctx)
+{
+  each_process (b, TRUE, fn, ctx);
 }
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -72,6 +72,9 @@
   cb_msec_t append_ms; /* last record of the scheduler */
   GHashTable *links;   /* agent -> cb_batch_link_t */
 
+  gboolean registered; /* its address is in the log, or on the way */
+  uint32_t relays;     /* requests passed on so far */
+
   cb_msec_t term_ms; /* 0: not asked to end */
 } cb_batch_entry_t;
 
@@ -106,7 +109,14 @@
 void cb_batch_lead_resign (cb_batch_entry_t *entry);
 void cb_batch_lead_close (cb_batch_entry_t *entry);
 
+/* batch_relay.c */
+void cb_batch_relay_register (cb_batch_entry_t *entry);
+gboolean cb_batch_relay (cb_batch_entry_t *entry, cb_http_req_t *req);
+
 /* batch_http.c */
+void cb_batch_serve (cb_batch_entry_t *entry, cb_http_req_t *req);
+void cb_batch_refuse (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
+                      const char *reason, cb_msec_t retry_after_ms);
 int cb_batch_http_open (cb_batch_entry_t *entry);
 
 G_END_DECLS
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -79,6 +79,7 @@
   check_term (entry, now_ms);
   cb_batch_pump (entry);
   cb_batch_save_tick (entry, now_ms);
+  cb_batch_relay_register (entry);
 }
 
 static int
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -21,9 +21,9 @@
 
 /* Answers with STATUS and a reason. RETRY_AFTER_MS above 0 is rounded up to the seconds
    of the header. */
-static void
-refuse (cb_batch_entry_t *entry, cb_http_req_t *req, int status, const char *reason,
-        cb_msec_t retry_after_ms)
+void
+cb_batch_refuse (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
+                 const char *reason, cb_msec_t retry_after_ms)
 {
   char *body = g_strdup_printf ("{\"error\":\"%s\"}", reason);
   char *label = g_strdup_printf ("reason=\"%s\"", reason);
@@ -79,9 +79,9 @@
       reply_json (req, 200, "{}");
     }
   else if (err == CB_LOGC_UNAVAILABLE)
-    refuse (entry, req, 504, "store_answer_unknown", 0);
+    cb_batch_refuse (entry, req, 504, "store_answer_unknown", 0);
   else
-    refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
+    cb_batch_refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
 }
 
 static const char *
@@ -110,12 +110,12 @@
     }
   if (!cb_batch_log_fresh (entry, LOG_SILENT_MS))
     {
-      refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
+      cb_batch_refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
       return;
     }
   if (cb_platform_job_read (body, len, &job) < 0)
     {
-      refuse (entry, req, 400, "invalid_job", 0);
+      cb_batch_refuse (entry, req, 400, "invalid_job", 0);
       return;
     }
   cb_msg_set_string (&job->id, id);
@@ -132,8 +132,8 @@
   if (err < 0)
     {
       cb_msg_free (job);
-      refuse (entry, req, err == CB_BATCH_INVALID ? 400 : 429, admit_reason (err),
-              retry_after_ms);
+      cb_batch_refuse (entry, req, err == CB_BATCH_INVALID ? 400 : 429,
+                       admit_reason (err), retry_after_ms);
       return;
     }
   record = cb_msg_new (&cb__batch_record__descriptor);
@@ -151,7 +151,7 @@
 
   if (status == CB_JOB_UNKNOWN && !cb_batch_log_fresh (entry, VIEW_AGE_MS))
     {
-      refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
+      cb_batch_refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
       return;
     }
   if (status == CB_JOB_UNKNOWN)
@@ -180,7 +180,7 @@
 
   if (status == CB_JOB_UNKNOWN && !cb_batch_log_fresh (entry, VIEW_AGE_MS))
     {
-      refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
+      cb_batch_refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
       return;
     }
   text = cb_platform_status_text (status);
@@ -197,10 +197,10 @@
   g_free (text);
 }
 
-static void
-on_caller (void *ctx, cb_http_req_t *req)
+/* Answers a caller's request by what this entry knows. */
+void
+cb_batch_serve (cb_batch_entry_t *entry, cb_http_req_t *req)
 {
-  cb_batch_entry_t *entry = ctx;
   const char *method = cb_http_method (req);
   const cb_batch_queue_t *queue;
   const cb_batch_account_t *account;
@@ -208,26 +208,26 @@
 
   if (entry->config == NULL)
     {
-      refuse (entry, req, 503, "no_config", OUTAGE_RETRY_MS);
+      cb_batch_refuse (entry, req, 503, "no_config", OUTAGE_RETRY_MS);
       return;
     }
   queue = cb_batch_config_find (entry->config, cb_http_host (req), cb_http_path (req));
   if (queue == NULL)
     {
-      refuse (entry, req, 404, "no_such_queue", 0);
+      cb_batch_refuse (entry, req, 404, "no_such_queue", 0);
       return;
     }
   account = cb_batch_config_account (entry->config, cb_platform_caller_key (req));
   if (account == NULL && !queue->open)
     {
-      refuse (entry, req, 401, "unknown_key", 0);
+      cb_batch_refuse (entry, req, 401, "unknown_key", 0);
       return;
     }
   id = cb_http_path (req) + strlen (queue->prefix);
   if (*id == '\0' && strcmp (method, "GET") == 0)
     show_queue (entry, req, queue);
   else if (!cb_platform_job_id_valid (id))
-    refuse (entry, req, 400, "invalid_id", 0);
+    cb_batch_refuse (entry, req, 400, "invalid_id", 0);
   else if (strcmp (method, "GET") == 0)
     show (entry, req, id);
   else if (strcmp (method, "DELETE") == 0)
@@ -235,7 +235,16 @@
   else if (strcmp (method, "POST") == 0)
     submit (entry, req, queue, account, id);
   else
-    refuse (entry, req, 405, "unknown_method", 0);
+    cb_batch_refuse (entry, req, 405, "unknown_method", 0);
+}
+
+static void
+on_caller (void *ctx, cb_http_req_t *req)
+{
+  cb_batch_entry_t *entry = ctx;
+
+  if (!cb_batch_relay (entry, req))
+    cb_batch_serve (entry, req);
 }
 
 static void
--- /dev/null
+++ b/cmd/batch_relay.c
@@ -0,0 +1,182 @@
+#include <string.h>
+
+#include "cmd/batch.h"
+
+/* Without the log for this long in ms, requests go to another entry. A waiting read
+   ends within 1.0 s when the store is well. */
+#define STALE_MS 1600
+/* Longest time in ms for another entry's answer; callers wait 3 s. */
+#define ANSWER_MS 2500
+/* Other entries that are tried while none can serve. */
+#define TRIES 2
+/* HTTP status of an entry that has lost the log too, or knows an older configuration.
+ */
+#define MISDIRECTED 421
+/* When a caller whose view could not be had should ask again. */
+#define RETRY_AFTER_MS 1000
+
+typedef struct
+{
+  cb_batch_entry_t *entry;
+  cb_http_req_t *req;
+  char *headers;
+  uint32_t tries;
+} relay_t;
+
+typedef struct
+{
+  const cb_batch_entry_t *entry;
+  GPtrArray *addresses; /* of char, not owned */
+} peers_t;
+
+static void relay_once (relay_t *relay);
+
+static void
+on_registered (cb_batch_entry_t *entry, void *ctx, int err,
+               const Cb__BatchRecord *record)
+{
+  (void)ctx;
+  (void)record;
+  if (err < 0)
+    entry->registered = FALSE;
+}
+
+/* Writes the entry's address to the log once it is caught up. */
+void
+cb_batch_relay_register (cb_batch_entry_t *entry)
+{
+  Cb__BatchRecord *record;
+
+  if (entry->registered || !entry->caught_up || !entry->healthy)
+    return;
+  entry->registered = TRUE;
+  record = cb_msg_new (&cb__batch_record__descriptor);
+  record->body_case = CB__BATCH_RECORD__BODY_AGENT;
+  record->agent = cb_msg_new (&cb__batch_agent__descriptor);
+  cb_msg_set_string (&record->agent->name, entry->settings->name);
+  cb_msg_set_string (&record->agent->address, entry->settings->caller_address);
+  record->agent->entry = TRUE;
+  cb_batch_append (entry, record, on_registered, NULL);
+}
+
+static void
+add_peer (void *ctx, const char *name, const char *address)
+{
+  peers_t *peers = ctx;
+
+  if (strcmp (name, peers->entry->settings->name) != 0)
+    g_ptr_array_add (peers->addresses, (gpointer)address);
+}
+
+static gint
+compare_addresses (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+/* Returns another entry's address, a different one each time; freed with g_free; NULL
+   when there is none. */
+static char *
+next_peer (cb_batch_entry_t *entry)
+{
+  peers_t peers = { entry, g_ptr_array_new () };
+  char *address = NULL;
+
+  cb_batch_each_entry (entry->batch, add_peer, &peers);
+  g_ptr_array_sort (peers.addresses, compare_addresses);
+  if (peers.addresses->len > 0)
+    address = g_strdup (peers.addresses->pdata[entry->relays++ % peers.addresses->len]);
+  g_ptr_array_free (peers.addresses, TRUE);
+  return address;
+}
+
+static void
+end_relay (relay_t *relay)
+{
+  g_free (relay->headers);
+  g_free (relay);
+}
+
+static void
+on_answer (void *ctx, int err, int status, const char *body, size_t len)
+{
+  relay_t *relay = ctx;
+  gboolean reads = strcmp (cb_http_method (relay->req), "GET") == 0;
+
+  cb_event (CB_LOG_INFO, "entry", "relayed",
+            "method=%s path=%s err=%d status=%d tries=%u", cb_http_method (relay->req),
+            cb_http_path (relay->req), err, status, relay->tries);
+  if ((err == CB_NET_CONNECT || status == MISDIRECTED) && relay->tries < TRIES)
+    {
+      relay_once (relay);
+      return;
+    }
+  if (err == CB_NET_CONNECT || status == MISDIRECTED)
+    cb_batch_serve (relay->entry, relay->req);
+  else if (err == CB_OK)
+    cb_http_reply (relay->req, status, "application/json", body, len);
+  else if (reads)
+    cb_batch_refuse (relay->entry, relay->req, 503, "view_stale", RETRY_AFTER_MS);
+  else
+    cb_batch_refuse (relay->entry, relay->req, 504, "relay_answer_unknown", 0);
+  end_relay (relay);
+}
+
+static void
+relay_once (relay_t *relay)
+{
+  char *address = next_peer (relay->entry);
+  size_t len;
+  cb_http_spec_t spec = { .address = address,
+                          .host = cb_http_host (relay->req),
+                          .method = cb_http_method (relay->req),
+                          .path = cb_http_path (relay->req),
+                          .headers = relay->headers,
+                          .body = cb_http_body (relay->req, &len),
+                          .timeout_ms = ANSWER_MS,
+                          .keep_alive = TRUE };
+
+  if (address == NULL)
+    {
+      cb_batch_serve (relay->entry, relay->req);
+      end_relay (relay);
+      return;
+    }
+  spec.body_len = len;
+  relay->tries++;
+  cb_http_call (relay->entry->loop, &spec, on_answer, relay);
+  g_free (address);
+}
+
+static gboolean
+has_lost_log (const cb_batch_entry_t *entry)
+{
+  return !entry->healthy || !cb_batch_log_fresh (entry, STALE_MS);
+}
+
+/* Passes REQ on to another entry when this one has lost the log, since the store may
+   serve the others, and they have the newer configuration. When none can serve it, it
+   is answered here after all. Returns FALSE when the request is to be answered here. */
+gboolean
+cb_batch_relay (cb_batch_entry_t *entry, cb_http_req_t *req)
+{
+  uint64_t own_version = entry->config == NULL ? 0 : entry->config->version;
+  uint64_t version;
+  relay_t *relay;
+
+  if (cb_platform_is_relayed (req, &version))
+    {
+      if (!has_lost_log (entry) && version <= own_version)
+        return FALSE;
+      cb_http_reply (req, MISDIRECTED, "application/json", "{}", 2);
+      return TRUE;
+    }
+  if (!has_lost_log (entry) || !entry->caught_up)
+    return FALSE;
+  relay = g_new0 (relay_t, 1);
+  relay->entry = entry;
+  relay->req = req;
+  relay->headers = cb_platform_relay_headers (req, own_version);
+  relay_once (relay);
+  return TRUE;
+}
--- a/net/client.c
+++ b/net/client.c
@@ -167,7 +167,8 @@
   g_string_append_printf (text,
                           "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: %s\r\n"
                           "content-length: %zu\r\n%s\r\n",
-                          spec->method, spec->path, spec->address,
+                          spec->method, spec->path,
+                          spec->host == NULL ? spec->address : spec->host,
                           spec->keep_alive ? "keep-alive" : "close", spec->body_len,
                           spec->headers == NULL ? "" : spec->headers);
   if (spec->body_len > 0)
--- a/net/dat.h
+++ b/net/dat.h
@@ -34,6 +34,7 @@
 typedef struct
 {
   const char *address; /* host:port, host an IP address */
+  const char *host;    /* that the request names; NULL: the address */
   const char *method;
   const char *path;    /* with query */
   const char *headers; /* lines `name: value\r\n`, or NULL */
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -1828,7 +1828,7 @@
   (ProtobufCMessageInit) cb__batch_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_agent__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cb__batch_agent__field_descriptors[3] =
 {
   {
     "name",
@@ -1854,15 +1854,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchAgent, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_agent__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  2,   /* field[2] = entry */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange cb__batch_agent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cb__batch_agent__descriptor =
 {
@@ -1872,7 +1885,7 @@
   "Cb__BatchAgent",
   "cb",
   sizeof(Cb__BatchAgent),
-  2,
+  3,
   cb__batch_agent__field_descriptors,
   cb__batch_agent__field_indices_by_name,
   1,  cb__batch_agent__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -249,15 +249,19 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * An agent's ZeroMQ address, or where callers reach an entry.
+ */
 struct  Cb__BatchAgent
 {
   ProtobufCMessage base;
   char *name;
   char *address;
+  protobuf_c_boolean entry;
 };
 #define CB__BATCH_AGENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_agent__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cb__BatchStarts
