--- a/batch/place.c
+++ b/batch/place.c
@@ -5,7 +5,7 @@
 /* A plan that could not be carried out within a stop and this long in ms is dropped. */
 #define PLAN_SLACK_MS 600
 /* Work that has to start within this time in ms to be in time uses every room. */
-#define AT_RISK_MS 5000
+#define AT_RISK_MS 3000
 /* Ranks of work that is not urgent; the priority is added. */
 #define AT_RISK_RANK 100
 #define WAITING_RANK 200
