--- a/batch/lead.c
+++ b/batch/lead.c
@@ -7,9 +7,11 @@
 /* A run whose progress has not changed for this long in ms stands still; reports come
    twice a second, and 1% of the shortest work takes 5 ms. Urgent work is moved at once,
    other work when it has not done much or keeps its progress. */
-#define STALL_URGENT_MS 1500
-#define STALL_MS 3500
+#define STALL_URGENT_MS 2500
+#define STALL_MS 4500
 #define STALL_PERCENT 50
+/* The last percents say little: runs were seen to stay at 100 for seconds. */
+#define STALL_LAST_PERCENT 95
 /* A worker with a run that stands still gets no new work for this long in ms while
    there is another. */
 #define STALL_AVOID_MS 4000
@@ -440,7 +442,8 @@
   gboolean urgent = task->job->spec->priority == 0;
 
   if (task->state != TASK_STARTED || !task->seen || task->stop || spec->daemon ||
-      task->percent == 0 || still_ms < STALL_URGENT_MS)
+      task->percent == 0 || task->percent >= STALL_LAST_PERCENT ||
+      still_ms < STALL_URGENT_MS)
     return;
   if (w->avoid_until_ms < now_ms)
     cb_event (CB_LOG_WARN, "batch", "run_stalled",
@@ -456,7 +459,7 @@
 static void
 find_stalls (cb_batch_t *b, worker_t *w, cb_msec_t now_ms)
 {
-  if (!w->listed || now_ms - w->report_ms > STALL_URGENT_MS / 2)
+  if (!w->listed || now_ms - w->report_ms > STALL_URGENT_MS / 4)
     return;
   for (guint i = 0; i < w->tasks->len; i++)
     check_progress (b, w, w->tasks->pdata[i], now_ms);
