--- a/batch/place.c
+++ b/batch/place.c
@@ -4,7 +4,9 @@
 
 /* A plan that could not be carried out within a stop and this long in ms is dropped. */
 #define PLAN_SLACK_MS 600
-/* Work that has to start within this time in ms to be in time uses every room. */
+/* Work that has to start within this time in ms, for each step of priority, to be in
+   time uses every room and goes before work that can wait. Less urgent work gets more
+   of it, as it also waits for all that is more urgent. */
 #define AT_RISK_MS 3000
 /* Ranks of work that is not urgent; the priority is added. */
 #define AT_RISK_RANK 100
@@ -73,7 +75,8 @@
 
   demand.latest_start_ms = job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
   demand.late = now_ms > demand.latest_start_ms;
-  demand.at_risk = now_ms > demand.latest_start_ms - AT_RISK_MS;
+  demand.at_risk = now_ms > demand.latest_start_ms -
+                                AT_RISK_MS * (cb_msec_t)MAX (1, job->spec->priority);
   demand.idle =
       use < IDLE_USE && job->open_runs == 0 && now_ms - job->idle_ms > IDLE_WAIT_MS;
   demand.use_kept = job->spec->priority == 0 || demand.at_risk || demand.idle;
