--- a/batch/place.c
+++ b/batch/place.c
@@ -7,7 +7,7 @@
 /* Work that has to start within this time in ms, for each step of priority, to be in
    time uses every room and goes before work that can wait. Less urgent work gets more
    of it, as it also waits for all that is more urgent. */
-#define AT_RISK_MS 4000
+#define AT_RISK_MS 5000
 /* Ranks of work that is not urgent; the priority is added. */
 #define AT_RISK_RANK 100
 #define WAITING_RANK 200
