--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -62,6 +62,7 @@
   /* The configuration's tail. */
   uint64_t config_next;
   gboolean config_listed;
+  gboolean config_failed; /* the last read failed: the next one does not wait */
   cb_msec_t config_read_ms;
   cb_timer_t *config_timer;
 
--- a/cmd/batch_config.c
+++ b/cmd/batch_config.c
@@ -51,6 +51,7 @@
   cb_batch_entry_t *entry = read->entry;
   gboolean list = read->list;
 
+  entry->config_failed = err < 0;
   if (err == CB_OK)
     entry->config_read_ms = read->sent_ms;
   g_free (read);
@@ -86,7 +87,7 @@
     cb_store_newest (entry->store, cb_platform_config_topic, NULL, on_items, read);
   else
     cb_store_watch (entry->store, cb_platform_config_topic, entry->config_next,
-                    READ_WAIT_MS, on_items, read);
+                    entry->config_failed ? 0 : READ_WAIT_MS, on_items, read);
 }
 
 /* Starts to follow the operator's configuration. */
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -1,7 +1,8 @@
 #include "cmd/batch.h"
 
 /* A read waits this long for the next record, so that a silent connection or store is
-   noticed within twice this time. */
+   noticed within twice this time. After a failure it does not wait, so that the store's
+   return is noticed sooner. */
 #define READ_WAIT_MS 1000
 /* Pause after a failed read. */
 #define RETRY_MS 150
@@ -187,7 +188,7 @@
   read->entry = entry;
   read->sent_ms = cb_batch_now ();
   cb_logc_read (cb_store_log (entry->store), CB_BATCH_STREAM, entry->next, 0,
-                entry->caught_up ? READ_WAIT_MS : 0, on_read, read);
+                entry->caught_up && entry->healthy ? READ_WAIT_MS : 0, on_read, read);
 }
 
 /* Starts to fold the log and to append to it. */
