Stop a task for standing still once at most

Traced: the stand-in reports 50 percent all the time, and each run was stopped after 2.5 s. A worker that reports no progress must not keep its work from ending. batch_test WorkWithoutReportedProgressEnds fails without the change; platform_site_test passes.

--- a/batch/lead.c
+++ b/batch/lead.c
@@ -12,6 +12,9 @@
 #define STALL_PERCENT 50
 /* The last percents say little: runs were seen to stay at 100 for seconds. */
 #define STALL_LAST_PERCENT 95
+/* Runs of a task that are stopped for standing still: a worker that reports no progress
+   at all must not keep its work from ending. */
+#define STALL_MOVES 1
 /* A worker with a run that stands still gets no new work for this long in ms while
    there is another. */
 #define STALL_AVOID_MS 4000
@@ -451,8 +454,13 @@
               task->job->spec->id, task->occurrence, task->step, task->index, task->run,
               w->id, task->percent, still_ms);
   w->avoid_until_ms = now_ms + STALL_AVOID_MS;
+  if (task->stalls >= STALL_MOVES)
+    return;
   if (urgent || (still_ms > STALL_MS && (spec->saves || task->percent < STALL_PERCENT)))
-    stop_task (b, task, now_ms, "stalled");
+    {
+      task->stalls++;
+      stop_task (b, task, now_ms, "stalled");
+    }
 }
 
 /* Looks for runs that stand still although their worker answers. */
--- a/batch/local.h
+++ b/batch/local.h
@@ -37,6 +37,7 @@
   const worker_t *planned; /* is being emptied for the task; only to be compared */
   cb_msec_t planned_ms;
   cb_msec_t not_before_ms; /* after a start that was rejected */
+  uint32_t stalls;         /* runs that were stopped because they stood still */
   /* Place. */
   job_t *job;
   uint32_t occurrence;
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -45,6 +45,7 @@
   bool draining = false;
   bool rejects = false; // starts
   bool stuck = false;   // tasks make no progress
+  bool mute = false;    // it reports none, though they do
   uint64_t lease_ms = 0;
   std::map<std::string, Run> running;
   std::vector<End> ended;
@@ -258,9 +259,11 @@
         auto *row =
             static_cast<Cb__RunningTask *> (cb_msg_new (&cb__running_task__descriptor));
         row->run = TaskRun (r.second.task, r.second.run);
-        row->percent = static_cast<uint32_t> (
-            100 * (now - r.second.began_ms) /
-            std::max<cb_msec_t> (1, r.second.ends_ms - r.second.began_ms));
+        row->percent =
+            w.mute ? 50
+                   : static_cast<uint32_t> (
+                         100 * (now - r.second.began_ms) /
+                         std::max<cb_msec_t> (1, r.second.ends_ms - r.second.began_ms));
         cb_msg_append (reinterpret_cast<void ***> (&report->running),
                        &report->n_running, row);
       }
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -215,6 +215,19 @@
   EXPECT_EQ (site.Status ("u"), CB_JOB_COMPLETED);
 }
 
+// Guards against work that is stopped again and again because its worker reports no
+// progress (CI: RestartedAgentLeavesTheWorkersTasksAlone never ended).
+TEST (Batch, WorkWithoutReportedProgressEnds)
+{
+  BatchSite site (1, 1);
+
+  site.workers[0]->mute = true;
+  site.length_ms["u"] = 6000;
+  site.Submit ("u", 0, { { 1, 8 } });
+  site.Advance (12000);
+  EXPECT_EQ (site.Status ("u"), CB_JOB_COMPLETED);
+}
+
 TEST (Batch, DrainingWorkerGetsNoWork)
 {
   BatchSite site (2, 2);
