Never answer by an older configuration than one that was passed on

An entry that had lost the store passed a request on to an entry with a newer configuration, then answered one itself by its own. The answer to a relayed request now names the version behind it; the entry passes that on as the least version, and refuses with config_stale rather than answer by an older one. platform_site_test EntryCutFromTheStoreNeverGoesBackInConfiguration fails without the refusal.

--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -75,6 +75,8 @@
 
   gboolean registered; /* its address is in the log, or on the way */
   uint32_t relays;     /* requests passed on so far */
+  uint64_t
+      relayed_version; /* newest configuration behind an answer that was passed on */
 
   cb_msec_t term_ms; /* 0: not asked to end */
 } cb_batch_entry_t;
--- a/cmd/batch_relay.c
+++ b/cmd/batch_relay.c
@@ -20,6 +20,7 @@
   cb_batch_entry_t *entry;
   cb_http_req_t *req;
   char *headers;
+  GString *version; /* of the answer's configuration */
   uint32_t tries;
 } relay_t;
 
@@ -94,9 +95,27 @@
 end_relay (relay_t *relay)
 {
   g_free (relay->headers);
+  g_string_free (relay->version, TRUE);
   g_free (relay);
 }
 
+static uint64_t
+config_version (const cb_batch_entry_t *entry)
+{
+  return entry->config == NULL ? 0 : entry->config->version;
+}
+
+/* Answers a request that no other entry serves, unless callers have seen answers by a
+   newer configuration through this entry. */
+static void
+serve_here (relay_t *relay)
+{
+  if (config_version (relay->entry) < relay->entry->relayed_version)
+    cb_batch_refuse (relay->entry, relay->req, 503, "config_stale", RETRY_AFTER_MS);
+  else
+    cb_batch_serve (relay->entry, relay->req);
+}
+
 static void
 on_answer (void *ctx, int err, int status, const char *body, size_t len)
 {
@@ -112,9 +131,14 @@
       return;
     }
   if (err == CB_NET_CONNECT || status == MISDIRECTED)
-    cb_batch_serve (relay->entry, relay->req);
+    serve_here (relay);
   else if (err == CB_OK)
-    cb_http_reply (relay->req, status, "application/json", body, len);
+    {
+      relay->entry->relayed_version =
+          MAX (relay->entry->relayed_version,
+               g_ascii_strtoull (relay->version->str, NULL, 10));
+      cb_http_reply (relay->req, status, "application/json", body, len);
+    }
   else if (reads)
     cb_batch_refuse (relay->entry, relay->req, 503, "view_stale", RETRY_AFTER_MS);
   else
@@ -134,11 +158,13 @@
                           .headers = relay->headers,
                           .body = cb_http_body (relay->req, &len),
                           .timeout_ms = ANSWER_MS,
+                          .want_header = cb_platform_config_header,
+                          .header_value = relay->version,
                           .keep_alive = TRUE };
 
   if (address == NULL)
     {
-      cb_batch_serve (relay->entry, relay->req);
+      serve_here (relay);
       end_relay (relay);
       return;
     }
@@ -160,23 +186,32 @@
 gboolean
 cb_batch_relay (cb_batch_entry_t *entry, cb_http_req_t *req)
 {
-  uint64_t own_version = entry->config == NULL ? 0 : entry->config->version;
+  uint64_t own_version = config_version (entry);
   uint64_t version;
   relay_t *relay;
+  char *text;
 
   if (cb_platform_is_relayed (req, &version))
     {
-      if (!has_lost_log (entry) && version <= own_version)
-        return FALSE;
-      cb_http_reply (req, MISDIRECTED, "application/json", "{}", 2);
-      return TRUE;
+      if (has_lost_log (entry) || version > own_version)
+        {
+          cb_http_reply (req, MISDIRECTED, "application/json", "{}", 2);
+          return TRUE;
+        }
+      text = g_strdup_printf ("%" PRIu64, own_version);
+      cb_http_add_header (req, cb_platform_config_header, text);
+      g_free (text);
+      return FALSE;
     }
-  if (!has_lost_log (entry) || !entry->caught_up)
+  if (!entry->caught_up ||
+      (!has_lost_log (entry) && own_version >= entry->relayed_version))
     return FALSE;
   relay = g_new0 (relay_t, 1);
   relay->entry = entry;
   relay->req = req;
-  relay->headers = cb_platform_relay_headers (req, own_version);
+  relay->version = g_string_new (NULL);
+  relay->headers =
+      cb_platform_relay_headers (req, MAX (own_version, entry->relayed_version));
   relay_once (relay);
   return TRUE;
 }
--- a/net/client.c
+++ b/net/client.c
@@ -26,6 +26,8 @@
   GString *request;
   h2o_iovec_t request_vec;
   GString *body;
+  const char *want_header;
+  GString *header_value;
   size_t max_body;
   int64_t announced; /* content-length, -1 when absent */
   int status;
@@ -113,6 +115,21 @@
     }
 }
 
+static void
+read_wanted (cb_http_call_t *call, const h2o_header_t *headers, size_t count)
+{
+  size_t len = call->want_header == NULL ? 0 : strlen (call->want_header);
+
+  for (size_t i = 0; i < count && len > 0; i++)
+    if (headers[i].name->len == len &&
+        g_ascii_strncasecmp (headers[i].name->base, call->want_header, len) == 0)
+      {
+        g_string_truncate (call->header_value, 0);
+        g_string_append_len (call->header_value, headers[i].value.base,
+                             (gssize)headers[i].value.len);
+      }
+}
+
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *client, const char *errstr, int minor_version, int status,
          h2o_iovec_t msg, h2o_header_t *headers, size_t num_headers, int rlen)
@@ -129,6 +146,7 @@
       return NULL;
     }
   call->status = status;
+  read_wanted (call, headers, num_headers);
   read_length (call, headers, num_headers);
   if (errstr == h2o_http1client_error_is_eos)
     {
@@ -237,6 +255,8 @@
   call->done_ctx = ctx;
   call->request = format_request (spec);
   call->body = g_string_new (NULL);
+  call->want_header = spec->want_header;
+  call->header_value = spec->header_value;
   call->max_body =
       spec->max_body_bytes > 0 ? spec->max_body_bytes : DEFAULT_MAX_BODY_BYTES;
   call->announced = -1;
--- a/net/dat.h
+++ b/net/dat.h
@@ -39,10 +39,12 @@
   const char *path;    /* with query */
   const char *headers; /* lines `name: value\r\n`, or NULL */
   const void *body;
-  size_t body_len;       /* bytes */
-  cb_msec_t timeout_ms;  /* for the whole exchange */
-  size_t max_body_bytes; /* of the answer; 0: 16 MiB */
-  gboolean keep_alive;   /* reuse idle connections to the address */
+  size_t body_len;         /* bytes */
+  cb_msec_t timeout_ms;    /* for the whole exchange */
+  size_t max_body_bytes;   /* of the answer; 0: 16 MiB */
+  gboolean keep_alive;     /* reuse idle connections to the address */
+  const char *want_header; /* NULL, or a header of the answer, static text */
+  GString *header_value;   /* set to its value before DONE; must outlive the call */
 } cb_http_spec_t;
 
 /* ERR is 0 or an error of this layer; then STATUS is 0 and BODY NULL. BODY is valid
--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -78,9 +78,10 @@
              "w" + std::to_string (i), "--rack", "r" + std::to_string (i / 3),
              "--trace", dir_ + "/" + name + ".trace" });
   }
-  // Writes a configuration with one queue of each of three priorities.
+  // Writes a configuration with one queue of each of three priorities, and one of
+  // EXTRA.
   void
-  Publish (int version)
+  Publish (int version, const std::string &extra = "")
   {
     std::string text = "{\"version\":" + std::to_string (version) + ",\"routes\":[";
     for (int p = 0; p < 3; p++)
@@ -89,6 +90,9 @@
               "/\",\"priority\":" + std::to_string (p) +
               ",\"service\":\"svc\",\"attempts\":3,\"stretch\":3,\"sloMs\":3000,"
               "\"timeoutMs\":3000,\"public\":true}";
+    if (!extra.empty ())
+      text += ",{\"name\":\"x\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"" + extra +
+              "\",\"service\":\"svc\",\"public\":true}";
     text += "],\"tenants\":[]}";
     std::string record = std::string (1, 6) + "config" + text;
     std::string body = { static_cast<char> (record.size () >> 24),
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -143,6 +143,27 @@
   site.CheckRuns ();
 }
 
+// Guards against answers by an older configuration after one by a newer was passed on
+// (grown ertis scale-2 --seed 165888280570: version 10, then 3).
+TEST (PlatformSite, EntryCutFromTheStoreNeverGoesBackInConfiguration)
+{
+  PlatformSite site (2, 1, true);
+  const std::string added = "/extra/";
+
+  ASSERT_TRUE (site.Up ());
+  site.Signal ("link-entry0", SIGSTOP);
+  site.Publish (2, added);
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Call (site.callers[1], "GET", added).status == 200; }));
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Call (site.callers[0], "GET", added).status == 200; }));
+  site.Kill ("entry1");
+  EXPECT_NE (site.Call (site.callers[0], "GET", added).status, 404);
+  site.Signal ("link-entry0", SIGCONT);
+  EXPECT_TRUE (site.Until (
+      [&] { return site.Call (site.callers[0], "GET", added).status == 200; }));
+}
+
 // A planned stop answers what it has taken and hands the scheduler's role over.
 TEST (PlatformSite, StoppedEntryEndsInTimeAndHandsOver)
 {
