--- a/batch/room.c
+++ b/batch/room.c
@@ -27,8 +27,6 @@
   return room;
 }
 
-/* Returns the rooms of all workers that may get work now, sorted by name so that
-   placement does not depend on hash order. Freed with g_ptr_array_free. */
 static gint
 compare_rooms (gconstpointer a, gconstpointer b)
 {
@@ -38,6 +36,8 @@
   return strcmp (x->worker->id, y->worker->id);
 }
 
+/* Returns the rooms of all workers that may get work now, sorted by name so that
+   placement does not depend on hash order. Freed with g_ptr_array_free. */
 GPtrArray *
 rooms_new (cb_batch_t *b, cb_msec_t now_ms)
 {
--- a/batch/state.c
+++ b/batch/state.c
@@ -393,7 +393,7 @@
 }
 
 static void
-finish_gang (cb_batch_t *b, step_state_t *step)
+finish_gang (step_state_t *step)
 {
   for (uint32_t t = 0; t < step->count; t++)
     {
@@ -407,12 +407,11 @@
       task->proposed_start = FALSE;
       set_state (task, TASK_DONE);
     }
-  (void)b;
 }
 
 /* Counts a failed run: each of a task, one of a gang's members for all. */
 static void
-count_failure (cb_batch_t *b, task_t *task, cb_msec_t wall_ms)
+count_failure (task_t *task, cb_msec_t wall_ms)
 {
   step_state_t *step = task_step (task);
   const Cb__BatchStep *spec = task_spec (task);
@@ -436,7 +435,6 @@
     return;
   task->job->failed = TRUE;
   task->job->ended_wall_ms = wall_ms;
-  (void)b;
 }
 
 static void
@@ -462,11 +460,11 @@
     {
       set_state (task, TASK_DONE);
       if (task_spec (task)->gang)
-        finish_gang (b, task_step (task));
+        finish_gang (task_step (task));
       check_completed (task->job, wall_ms);
     }
   else if (end->how == CB__RUN_END__RUN_FAILED)
-    count_failure (b, task, wall_ms);
+    count_failure (task, wall_ms);
   else if (end->how == CB__RUN_END__RUN_REJECTED)
     task->not_before_ms = now_ms + REJECTED_PAUSE_MS;
   if (task->job->open_runs == 0)
