Use a worker again that returns after its lease

Traced in its logs: each worker was listed and taken as lapsed in the same millisecond, over and over. The lease's end is moved on only with orders, which follow the check of leases, so a worker that had been silent for longer than its lease never got work again. Ruled out: the load, which only made the silence long enough. Its first lists now move the lease's end on. batch_test WorkerThatReturnsAfterItsLeaseGetsWork fails without the change; the harness ticks between report and orders as the entry does.

--- a/batch/lead.c
+++ b/batch/lead.c
@@ -370,6 +370,10 @@
                          "running=%zu ended=%zu",
                          w->id, agent, w->rack, w->cpu_milli, w->accelerators,
                          report->n_running, report->n_ended);
+      /* Otherwise one that returns after its lease would be taken as silent again
+         before it can get a new one. */
+      if (!w->listed)
+        w->lease_over_ms = MAX (w->lease_over_ms, lease_over (b, now_ms));
       w->listed = TRUE;
       w->clock_ms = report->clock_ms;
       w->report_ms = now_ms;
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -283,6 +283,7 @@
     for (const std::string &key : w.absent)
       AddRun (&report->absent, &report->n_absent, key);
     cb_batch_report (active, w.agent.c_str (), report, now);
+    cb_batch_tick (active, now, now); // as the entry does, before it sends orders
     last_report[w.id] = std::shared_ptr<Cb__WorkerReport> (report, cb_msg_free);
     Drain ();
     Obey (w);
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -228,6 +228,20 @@
   EXPECT_EQ (site.Status ("u"), CB_JOB_COMPLETED);
 }
 
+// Guards against a worker that stays unusable after it was silent for longer than its
+// lease (soak seed 1 beside load: accepted jobs stayed queued).
+TEST (Batch, WorkerThatReturnsAfterItsLeaseGetsWork)
+{
+  BatchSite site (1, 1);
+
+  site.workers[0]->reached = false;
+  site.Advance (12000);
+  site.workers[0]->reached = true;
+  site.Submit ("j", 0, { { 1, 8 } });
+  site.Advance (2500);
+  EXPECT_EQ (site.Status ("j"), CB_JOB_COMPLETED);
+}
+
 TEST (Batch, DrainingWorkerGetsNoWork)
 {
   BatchSite site (2, 2);
