Count the scheduler's silence up to the log's last answer

Cause, from the entries' logs: entries counted the scheduler's silence up to now, although the read that would show its next beat had not been answered; they claimed the role in turn, and the claims delayed the beats further, as a partition takes one append at a time. Appends were given up after 1 s although several waited in line, and were sent again behind the first ones.

Now the silence is counted up to the last answer of the log, and a waiting read ends when a claim would be allowed.

Ruled out: a longer silence time (a takeover after a real death would wait for it); growing the limit after each time-out (a silent store that returns would be noticed late).

Above 0.75 s an append the role still moves.

--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -52,6 +52,7 @@
   gboolean caught_up; /* has read to the end at least once */
   gboolean reading;
   cb_msec_t read_ms;    /* when the last successful read was sent */
+  cb_msec_t answer_ms;  /* when its answer came */
   cb_msec_t healthy_ms; /* since when reads have succeeded without a failure */
   gboolean healthy;
   cb_timer_t *read_timer;
@@ -109,6 +110,7 @@
 /* batch_lead.c */
 void cb_batch_lead_tick (cb_batch_entry_t *entry, cb_msec_t now_ms);
 void cb_batch_lead_check (cb_batch_entry_t *entry);
+cb_msec_t cb_batch_lead_silent_in (const cb_batch_entry_t *entry, cb_msec_t now_ms);
 void cb_batch_lead_resign (cb_batch_entry_t *entry);
 void cb_batch_lead_close (cb_batch_entry_t *entry);
 
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -174,20 +174,31 @@
   cb_batch_append (entry, record, NULL, NULL);
 }
 
-static void
-check_silence (cb_batch_entry_t *entry, cb_msec_t now_ms)
+/* Returns in how many ms the scheduler's silence allows this entry to claim its role;
+   0 or less: now. An entry that is the scheduler is never silent to itself. */
+cb_msec_t
+cb_batch_lead_silent_in (const cb_batch_entry_t *entry, cb_msec_t now_ms)
 {
   cb_msec_t seen_ms = cb_batch_scheduler_seen_ms (entry->batch);
   cb_msec_t stagger_ms = g_str_hash (entry->settings->name) % STAGGER_MS;
 
+  if (entry->own_epoch != 0)
+    return SILENCE_MS;
+  if (seen_ms == 0)
+    return entry->healthy_ms + stagger_ms - now_ms;
+  return MAX (seen_ms, entry->healthy_ms) + SILENCE_MS + stagger_ms - now_ms;
+}
+
+/* Claims the scheduler's role when it is silent. A slow store delays the beats and what
+   reads show of them, so the silence is counted up to the last answer of the log, not
+   up to now. */
+static void
+check_silence (cb_batch_entry_t *entry, cb_msec_t now_ms)
+{
   if (!entry->caught_up || !entry->healthy || entry->config == NULL)
     return;
-  if (seen_ms != 0 &&
-      now_ms - MAX (seen_ms, entry->healthy_ms) < SILENCE_MS + stagger_ms)
-    return;
-  if (seen_ms == 0 && now_ms - entry->healthy_ms < stagger_ms)
-    return;
-  claim (entry, now_ms);
+  if (cb_batch_lead_silent_in (entry, entry->answer_ms) <= 0)
+    claim (entry, now_ms);
 }
 
 /* Learns from the log whether this entry has become the scheduler, or is not any more.
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -4,6 +4,8 @@
    noticed within twice this time. After a failure it does not wait, so that the store's
    return is noticed sooner. */
 #define READ_WAIT_MS 1000
+/* Shortest wait, while a claim is under way. */
+#define READ_WAIT_MIN_MS 250
 /* Pause after a failed read. */
 #define RETRY_MS 150
 
@@ -143,6 +145,7 @@
     }
   entry->healthy = TRUE;
   entry->read_ms = sent_ms;
+  entry->answer_ms = cb_batch_now ();
   for (size_t i = 0; i < count; i++)
     apply_one (entry, &records[i]);
   entry->next += count;
@@ -168,6 +171,17 @@
     read_later (entry);
 }
 
+/* A read that waits for a record ends when the scheduler's silence would allow a claim:
+   only its answer shows that there is none. */
+static cb_msec_t
+read_wait_ms (const cb_batch_entry_t *entry, cb_msec_t now_ms)
+{
+  if (!entry->caught_up || !entry->healthy)
+    return 0;
+  return CLAMP (cb_batch_lead_silent_in (entry, now_ms), READ_WAIT_MIN_MS,
+                READ_WAIT_MS);
+}
+
 static void
 read_on (void *ctx)
 {
@@ -188,7 +202,7 @@
   read->entry = entry;
   read->sent_ms = cb_batch_now ();
   cb_logc_read (cb_store_log (entry->store), CB_BATCH_STREAM, entry->next, 0,
-                entry->caught_up && entry->healthy ? READ_WAIT_MS : 0, on_read, read);
+                read_wait_ms (entry, read->sent_ms), on_read, read);
 }
 
 /* Starts to fold the log and to append to it. */
--- a/fakes/store.c
+++ b/fakes/store.c
@@ -1,7 +1,8 @@
 /* carobrun-fake-store: the log of the users' platform in memory, as platform/store.c
    speaks to it. `POST /control {"mode":M,"count":N}` makes it fail: `busy` refuses all
-   calls, `silent` answers none, `lose` stores appends without an answer, `ok` ends it.
-   The mode applies N times, always without N. */
+   calls, `silent` answers none, `lose` stores appends without an answer, `slow` takes
+   SLOW_MS for each call and does one append of a topic at a time, `ok` ends it. The
+   mode applies N times, always without N. */
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,12 +13,15 @@
 #define LENGTH_BYTES 4
 #define MAX_ANSWER_BYTES ((size_t)1 << 20)
 #define KEYED_PREFIX "keyed."
+/* 150 times the 4 ms of the platform's store. */
+#define SLOW_MS 600
 /* Period in ms in which waiting reads are looked at. */
 #define TICK_MS 5
 
 typedef struct
 {
-  GPtrArray *records; /* of GBytes, from offset 0 */
+  GPtrArray *records;   /* of GBytes, from offset 0 */
+  cb_msec_t appends_ms; /* end of the last append of a slow store */
 } topic_t;
 
 typedef struct
@@ -28,11 +32,19 @@
   cb_msec_t due_ms;
 } waiting_t;
 
+/* A call that a slow store has not yet done. */
+typedef struct
+{
+  cb_http_req_t *req;
+  cb_msec_t due_ms;
+} held_t;
+
 typedef struct
 {
   cb_fake_t fake;
   GHashTable *topics; /* name -> topic_t */
   GQueue waiting;     /* of waiting_t */
+  GQueue held;        /* of held_t */
 } store_t;
 
 static topic_t *
@@ -150,19 +162,12 @@
 }
 
 static void
-on_request (void *ctx, cb_http_req_t *req)
+handle (store_t *store, cb_http_req_t *req)
 {
-  store_t *store = ctx;
   const char *path = cb_http_path (req);
   const char *topic = cb_http_query (req, "topic");
 
-  if (cb_fake_control (&store->fake, req))
-    return;
-  if (cb_fake_take (&store->fake, "silent"))
-    cb_http_drop (req);
-  else if (cb_fake_take (&store->fake, "busy"))
-    cb_fake_reply (req, 503, json_object ());
-  else if (topic != NULL && strcmp (path, "/api/log-append") == 0)
+  if (topic != NULL && strcmp (path, "/api/log-append") == 0)
     on_append (store, req, get_topic (store, topic));
   else if (topic != NULL && strcmp (path, "/api/log-read") == 0)
     on_read (store, req, get_topic (store, topic));
@@ -172,14 +177,72 @@
     cb_fake_reply (req, 404, json_object ());
 }
 
-/* Answers reads whose record has come or whose time is over. */
+static void
+hold (store_t *store, cb_http_req_t *req)
+{
+  const char *topic = cb_http_query (req, "topic");
+  held_t *held = g_new0 (held_t, 1);
+
+  held->req = req;
+  held->due_ms = cb_clock_now (cb_clock_system ()) + SLOW_MS;
+  if (topic != NULL && strcmp (cb_http_path (req), "/api/log-append") == 0)
+    {
+      topic_t *to = get_topic (store, topic);
+
+      held->due_ms = MAX (held->due_ms, to->appends_ms + SLOW_MS);
+      to->appends_ms = held->due_ms;
+    }
+  g_queue_push_tail (&store->held, held);
+}
+
+static void
+on_request (void *ctx, cb_http_req_t *req)
+{
+  store_t *store = ctx;
+
+  if (cb_fake_control (&store->fake, req))
+    return;
+  if (cb_fake_take (&store->fake, "silent"))
+    cb_http_drop (req);
+  else if (cb_fake_take (&store->fake, "busy"))
+    cb_fake_reply (req, 503, json_object ());
+  else if (cb_fake_take (&store->fake, "slow"))
+    hold (store, req);
+  else
+    handle (store, req);
+}
+
+static void
+handle_held (store_t *store, cb_msec_t now_ms)
+{
+  GList *link = store->held.head;
+
+  while (link != NULL)
+    {
+      GList *next = link->next;
+      held_t *held = link->data;
+
+      if (now_ms >= held->due_ms)
+        {
+          handle (store, held->req);
+          g_queue_delete_link (&store->held, link);
+          g_free (held);
+        }
+      link = next;
+    }
+}
+
+/* Handles calls that were held, and answers reads whose record has come or whose time
+   is over. */
 static void
 on_tick (void *ctx)
 {
   store_t *store = ctx;
   cb_msec_t now_ms = cb_clock_now (cb_clock_system ());
-  GList *link = store->waiting.head;
+  GList *link;
 
+  handle_held (store, now_ms);
+  link = store->waiting.head;
   while (link != NULL)
     {
       GList *next = link->next;
@@ -241,6 +304,7 @@
       cb_fake_open (&store.fake, &params) < 0)
     return 2;
   g_queue_init (&store.waiting);
+  g_queue_init (&store.held);
   cb_timer_new (store.fake.loop, TICK_MS, TICK_MS, on_tick, &store);
   cb_fake_run (&store.fake);
   return 0;
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -65,6 +65,29 @@
   EXPECT_EQ (site.State (0, 1, 0), "unknown");
 }
 
+// Guards against takeovers and refusals while the store answers slowly (150 times its
+// usual time, one append at a time): the scheduler's beats come late but it is not
+// silent, and calls that would succeed are not given up.
+TEST (PlatformSite, SlowStoreMovesNoRoleAndRefusesNoJob)
+{
+  PlatformSite site (3, 2);
+
+  ASSERT_TRUE (site.Up ());
+  ASSERT_TRUE (site.Until ([&] { return site.Scheduler () >= 0; }));
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  int scheduler = site.Scheduler ();
+  site.Control (site.store, "{\"mode\":\"slow\"}");
+  site.Pause (3000);
+  for (int i = 0; i < 4; i++)
+    EXPECT_EQ (site.Submit (i % 3, 10 + i, 0, site.Job (1, 1, "run 50")).status, 200)
+        << i;
+  EXPECT_EQ (site.Scheduler (), scheduler);
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  for (int i = 0; i < 4; i++)
+    EXPECT_TRUE (site.Until ([&] { return site.State (0, 10 + i, 0) == "completed"; }));
+  site.CheckRuns ();
+}
+
 // The store took a record and its answer was lost: no refusal says that it did not run.
 TEST (PlatformSite, LostAnswerOfTheStoreIsNoRefusal)
 {
