Add histograms of durations to the metrics, and metrics to agents

Cause: the users ask for latency histograms on the metrics address of each process. Entries had counters only, and agents served nothing; where a slow job spent its time could be read from log lines only.

Entries now have histograms of callers' requests, of appends to the store and, at the scheduler, of the wait from acceptance to the first run by priority. Agents have one of the worker's answers and count failed calls.

Ruled out: a histogram at every entry for the wait (each job would be counted once an entry); the deploy file's `metrics` key, as it needs a fixed port and the free ports are known only at the start.

Counters.HistogramIsCumulativeAndNeverNegative and PlatformSite.MetricsShowWhereAJobSpentItsTime are new.

--- a/base/counter.c
+++ b/base/counter.c
@@ -74,6 +74,50 @@
   *find_series (counters, name, label) = value;
 }
 
+/* Upper bounds of a histogram's buckets: from an answer out of memory to the longest
+   wait of urgent work and of a stop. */
+static const cb_msec_t bucket_bounds_ms[] = { 1,   5,    10,   25,   50,    100,  250,
+                                              500, 1000, 2500, 5000, 10000, 30000 };
+
+static void
+add_to_bucket (cb_counters_t *counters, const char *name, const char *label,
+               const char *bound, uint64_t by)
+{
+  gboolean bare = label == NULL || *label == '\0';
+  char *bucket = g_strdup_printf ("%s_bucket", name);
+  char *bounded =
+      g_strdup_printf ("%s%sle=\"%s\"", bare ? "" : label, bare ? "" : ",", bound);
+
+  cb_counters_add (counters, bucket, bounded, by);
+  g_free (bounded);
+  g_free (bucket);
+}
+
+/* Adds the time TOOK_MS to the histogram NAME{LABEL}: cumulative buckets, sum and count
+   under the names of the Prometheus text format. A negative time counts as 0. */
+void
+cb_counters_observe (cb_counters_t *counters, const char *name, const char *label,
+                     cb_msec_t took_ms)
+{
+  uint64_t ms = took_ms < 0 ? 0 : (uint64_t)took_ms;
+  char *sum = g_strdup_printf ("%s_sum", name);
+  char *count = g_strdup_printf ("%s_count", name);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bucket_bounds_ms); i++)
+    {
+      char *bound = g_strdup_printf ("%" PRId64, bucket_bounds_ms[i]);
+
+      add_to_bucket (counters, name, label, bound,
+                     ms <= (uint64_t)bucket_bounds_ms[i] ? 1 : 0);
+      g_free (bound);
+    }
+  add_to_bucket (counters, name, label, "+Inf", 1);
+  cb_counters_add (counters, sum, label, ms);
+  cb_counters_add (counters, count, label, 1);
+  g_free (sum);
+  g_free (count);
+}
+
 static gboolean
 append_series (gpointer key, gpointer value, gpointer data)
 {
--- a/base/fns.h
+++ b/base/fns.h
@@ -40,6 +40,8 @@
                       uint64_t by);
 void cb_counters_set (cb_counters_t *counters, const char *name, const char *label,
                       uint64_t value);
+void cb_counters_observe (cb_counters_t *counters, const char *name, const char *label,
+                          cb_msec_t took_ms);
 char *cb_counters_text (const cb_counters_t *counters);
 
 /* trace.c */
--- a/batch/dat.h
+++ b/batch/dat.h
@@ -65,11 +65,12 @@
 /* Times in ms of the deployment that the decisions depend on. */
 typedef struct
 {
-  cb_msec_t hold_max_ms;  /* longest lease of a worker */
-  cb_msec_t stop_ms;      /* a stop takes at most this long */
-  cb_msec_t reclaim_ms;   /* guaranteed work starts within this time */
-  cb_msec_t status_ms;    /* ended jobs are kept this long */
-  double remote_slowdown; /* of work spread over racks or away from its data */
+  cb_msec_t hold_max_ms;   /* longest lease of a worker */
+  cb_msec_t stop_ms;       /* a stop takes at most this long */
+  cb_msec_t reclaim_ms;    /* guaranteed work starts within this time */
+  cb_msec_t status_ms;     /* ended jobs are kept this long */
+  double remote_slowdown;  /* of work spread over racks or away from its data */
+  cb_counters_t *counters; /* takes the scheduler's histograms; NULL: none */
 } cb_batch_params_t;
 
 /* Sums for metrics. */
--- a/batch/state.c
+++ b/batch/state.c
@@ -364,6 +364,22 @@
   agent->entry = message->entry;
 }
 
+/* Counts how long JOB waited for its first run: by the scheduler only, so that the sum
+   over all entries counts each job once. A job that was read from a snapshot has waited
+   since then. */
+static void
+count_wait (const cb_batch_t *b, const job_t *job, cb_msec_t now_ms)
+{
+  char *label;
+
+  if (job->started || b->own_epoch == 0 || b->params.counters == NULL)
+    return;
+  label = g_strdup_printf ("priority=\"%u\"", job->spec->priority);
+  cb_counters_observe (b->params.counters, "job_wait_duration_ms", label,
+                       now_ms - job->folded_ms);
+  g_free (label);
+}
+
 static void
 apply_start (cb_batch_t *b, const Cb__TaskStart *start, cb_msec_t now_ms)
 {
@@ -387,6 +403,7 @@
   task->proposed_end = FALSE;
   task->percent = 0;
   task->percent_ms = now_ms;
+  count_wait (b, task->job, now_ms);
   task->job->started = TRUE;
   attach_task (get_worker (b, start->worker, start->born_ms, start->agent), task);
   task->worker->orders_changed = TRUE;
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -120,6 +120,8 @@
 
 /* batch_http.c */
 void cb_batch_serve (cb_batch_entry_t *entry, cb_http_req_t *req);
+void cb_batch_answer (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
+                      const char *body, size_t len);
 void cb_batch_refuse (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
                       const char *reason, cb_msec_t retry_after_ms);
 int cb_batch_http_open (cb_batch_entry_t *entry);
--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -35,6 +35,7 @@
   gboolean tried;       /* a call was sent at least once */
   uint64_t answered_at; /* number of the newest hold when the answer came */
   cb_msec_t retry_ms;
+  cb_msec_t sent_ms;
 } order_t;
 
 typedef struct agent
@@ -43,6 +44,8 @@
   cb_loop_t *loop;
   cb_store_t *store;
   cb_http_server_t *control;
+  cb_http_server_t *metrics;
+  cb_counters_t *counters;
   cb_wire_t *wire;
   cb_timer_t *timer;
   char *peer; /* identity of the scheduler; NULL: none yet */
@@ -245,6 +248,18 @@
   send_report (agent);
 }
 
+static void
+count_call (agent_t *agent, const char *call, int err, cb_msec_t took_ms)
+{
+  char *label = g_strdup_printf ("call=\"%s\"", call);
+
+  if (err < 0)
+    cb_counters_add (agent->counters, "worker_calls_failed_total", label, 1);
+  else
+    cb_counters_observe (agent->counters, "worker_call_duration_ms", label, took_ms);
+  g_free (label);
+}
+
 static void
 on_lists (void *ctx, int err, const Cb__WorkerReport *lists)
 {
@@ -254,6 +269,8 @@
                      hold->born_ms == agent->report->born_ms;
 
   agent->holding = FALSE;
+  if (err < 0)
+    count_call (agent, "lists", err, 0);
   if (err == CB_OK && current && hold->epoch == agent->epoch)
     take_lists (agent, hold, lists);
   else if (err == CB_PLATFORM_FENCED)
@@ -318,6 +335,8 @@
       free_order (order);
       return;
     }
+  count_call (agent, order->is_stop ? "stop" : "start", err,
+              cb_batch_now () - order->sent_ms);
   order->answered_at = agent->hold_number;
   order->retry_ms = cb_batch_now () + RETRY_MS;
   if (err == CB_OK)
@@ -362,6 +381,7 @@
     }
   order->state = TASK_SENT;
   order->tried = TRUE;
+  order->sent_ms = cb_batch_now ();
   if (order->is_stop)
     cb_worker_stop (agent->loop, &target, order->run, on_ordered, order);
   else
@@ -579,6 +599,23 @@
   g_free (worker);
 }
 
+static void
+on_metrics (void *ctx, cb_http_req_t *req)
+{
+  agent_t *agent = ctx;
+  char *text;
+
+  cb_counters_set (agent->counters, "tasks_running", NULL, agent->report->n_running);
+  cb_counters_set (agent->counters, "worker_draining", NULL, agent->draining_ms != 0);
+  cb_counters_set (agent->counters, "store_calls_total", NULL,
+                   cb_store_calls (agent->store));
+  cb_counters_set (agent->counters, "log_lines_dropped_total", NULL,
+                   cb_event_dropped ());
+  text = cb_counters_text (agent->counters);
+  cb_http_reply (req, 200, "text/plain; version=0.0.4", text, strlen (text));
+  g_free (text);
+}
+
 static void
 on_registered (void *ctx, int err, uint64_t offset)
 {
@@ -656,6 +693,7 @@
   signal (SIGHUP, SIG_IGN);
   agent.loop = cb_loop_new ();
   agent.store = cb_store_new (agent.loop, settings->store_address);
+  agent.counters = cb_counters_new ();
   agent.report = cb_msg_new (&cb__worker_report__descriptor);
   agent.orders = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_order);
   agent.orders_ms = cb_batch_now () - REGISTER_MS - 1;
@@ -663,10 +701,14 @@
   if (cb_wire_listen (agent.loop, settings->wire_address, on_envelope, &agent,
                       &agent.wire) < 0 ||
       cb_http_listen (agent.loop, settings->control_address, on_control, &agent,
-                      &agent.control) < 0)
+                      &agent.control) < 0 ||
+      (settings->metrics_address[0] != '\0' &&
+       cb_http_listen (agent.loop, settings->metrics_address, on_metrics, &agent,
+                       &agent.metrics) < 0))
     {
-      cb_event_always (CB_LOG_ERROR, "agent", "listen_failed", "wire=%s control=%s",
-                       settings->wire_address, settings->control_address);
+      cb_event_always (CB_LOG_ERROR, "agent", "listen_failed",
+                       "wire=%s control=%s metrics=%s", settings->wire_address,
+                       settings->control_address, settings->metrics_address);
       return CB_EXIT_USAGE;
     }
   cb_event_always (CB_LOG_INFO, "agent", "started", "name=%s zone=%s wire=%s",
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -87,7 +87,7 @@
 {
   static cb_batch_entry_t
       entry; /* calls under way refer to it until the process ends */
-  const cb_batch_params_t params = {
+  cb_batch_params_t params = {
     .hold_max_ms = (cb_msec_t)settings->hold_max_ms,
     .stop_ms = (cb_msec_t)settings->stop_ms,
     .reclaim_ms = (cb_msec_t)settings->reclaim_ms,
@@ -106,6 +106,7 @@
   entry.loop = cb_loop_new ();
   entry.counters = cb_counters_new ();
   entry.store = cb_store_new (entry.loop, settings->store_address);
+  params.counters = entry.counters;
   entry.batch = cb_batch_new (&params);
   entry.saved_ms = cb_batch_now ();
   if (cb_batch_http_open (&entry) < 0)
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -13,10 +13,23 @@
 /* When a caller whose request met an outage should come back. */
 #define OUTAGE_RETRY_MS 1000
 
+/* Answers a caller's request with LEN bytes of JSON and counts how long it took. */
+void
+cb_batch_answer (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
+                 const char *body, size_t len)
+{
+  char *label = g_strdup_printf ("method=\"%s\"", cb_http_method (req));
+
+  cb_counters_observe (entry->counters, "request_duration_ms", label,
+                       cb_http_age_ms (req));
+  g_free (label);
+  cb_http_reply (req, status, "application/json", body, len);
+}
+
 static void
-reply_json (cb_http_req_t *req, int status, const char *text)
+reply_json (cb_batch_entry_t *entry, cb_http_req_t *req, int status, const char *text)
 {
-  cb_http_reply (req, status, "application/json", text, strlen (text));
+  cb_batch_answer (entry, req, status, text, strlen (text));
 }
 
 /* Answers with STATUS and a reason. RETRY_AFTER_MS above 0 is rounded up to the seconds
@@ -42,7 +55,7 @@
       cb_http_add_header (req, "retry-after", seconds);
       g_free (seconds);
     }
-  reply_json (req, status, body);
+  reply_json (entry, req, status, body);
   g_free (label);
   g_free (body);
 }
@@ -76,7 +89,7 @@
   if (err == CB_OK)
     {
       log_stored (entry, record);
-      reply_json (req, 200, "{}");
+      reply_json (entry, req, 200, "{}");
     }
   else if (err == CB_LOGC_UNAVAILABLE)
     cb_batch_refuse (entry, req, 504, "store_answer_unknown", 0);
@@ -105,7 +118,7 @@
 
   if (cb_batch_status (entry->batch, id) != CB_JOB_UNKNOWN)
     {
-      reply_json (req, 200, "{}");
+      reply_json (entry, req, 200, "{}");
       return;
     }
   if (!cb_batch_log_fresh (entry, LOG_SILENT_MS))
@@ -156,12 +169,12 @@
     }
   if (status == CB_JOB_UNKNOWN)
     {
-      reply_json (req, 410, "{}");
+      reply_json (entry, req, 410, "{}");
       return;
     }
   if (status == CB_JOB_CANCELED)
     {
-      reply_json (req, 200, "{}");
+      reply_json (entry, req, 200, "{}");
       return;
     }
   record = cb_msg_new (&cb__batch_record__descriptor);
@@ -184,7 +197,7 @@
       return;
     }
   text = cb_platform_status_text (status);
-  reply_json (req, status == CB_JOB_UNKNOWN ? 410 : 200, text);
+  reply_json (entry, req, status == CB_JOB_UNKNOWN ? 410 : 200, text);
   g_free (text);
 }
 
@@ -193,7 +206,7 @@
 {
   char *text = cb_platform_pending_text (cb_batch_pending (entry->batch, queue->name));
 
-  reply_json (req, 200, text);
+  reply_json (entry, req, 200, text);
   g_free (text);
 }
 
@@ -254,7 +267,8 @@
   gboolean ready = entry->term_ms == 0 && entry->config != NULL &&
                    cb_batch_log_fresh (entry, READY_AGE_MS);
 
-  reply_json (req, ready && cb_platform_is_ready_check (req) ? 200 : 503, "{}");
+  cb_http_reply (req, ready && cb_platform_is_ready_check (req) ? 200 : 503,
+                 "application/json", "{}", 2);
 }
 
 static void
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -12,6 +12,7 @@
 typedef struct
 {
   cb_batch_entry_t *entry;
+  cb_msec_t added_ms;
   Cb__BatchRecord *record;
   cb_batch_stored_t done;
   void *ctx;
@@ -49,6 +50,8 @@
                    : err == CB_LOGC_UNAVAILABLE ? "result=\"unknown\""
                                                 : "result=\"not_stored\"",
                    1);
+  cb_counters_observe (entry->counters, "store_append_duration_ms", NULL,
+                       cb_batch_now () - append->added_ms);
   if (append->done != NULL)
     append->done (entry, append->ctx, err, append->record);
   free_append (append);
@@ -63,6 +66,7 @@
   Cb__Record *outer = cb_msg_new (&cb__record__descriptor);
 
   append->entry = entry;
+  append->added_ms = cb_batch_now ();
   append->record = record;
   append->done = done;
   append->ctx = ctx;
--- a/cmd/batch_relay.c
+++ b/cmd/batch_relay.c
@@ -137,7 +137,7 @@
       relay->entry->relayed_version =
           MAX (relay->entry->relayed_version,
                g_ascii_strtoull (relay->version->str, NULL, 10));
-      cb_http_reply (relay->req, status, "application/json", body, len);
+      cb_batch_answer (relay->entry, relay->req, status, body, len);
     }
   else if (reads)
     cb_batch_refuse (relay->entry, relay->req, 503, "view_stale", RETRY_AFTER_MS);
--- a/net/fns.h
+++ b/net/fns.h
@@ -26,6 +26,7 @@
 void cb_http_server_close (cb_http_server_t *server);
 uint32_t cb_http_server_pending (const cb_http_server_t *server);
 const char *cb_http_method (const cb_http_req_t *req);
+cb_msec_t cb_http_age_ms (const cb_http_req_t *req);
 const char *cb_http_path (const cb_http_req_t *req);
 const char *cb_http_query (const cb_http_req_t *req, const char *name);
 const char *cb_http_header (cb_http_req_t *req, const char *name);
--- a/net/server.c
+++ b/net/server.c
@@ -46,6 +46,7 @@
   GHashTable *query;
   char *body;
   size_t body_len;
+  cb_msec_t received_ms;
 };
 
 static void
@@ -77,6 +78,7 @@
 
   req->server = server;
   req->h2o = h2o;
+  req->received_ms = cb_clock_now (cb_clock_system ());
   req->method = g_strndup (h2o->method.base, h2o->method.len);
   req->host = g_strndup (h2o->input.authority.base, h2o->input.authority.len);
   req->path = g_uri_unescape_string (raw, NULL);
@@ -196,6 +198,13 @@
   return server->pending;
 }
 
+/* Returns how long ago REQ was received. */
+cb_msec_t
+cb_http_age_ms (const cb_http_req_t *req)
+{
+  return cb_clock_now (cb_clock_system ()) - req->received_ms;
+}
+
 const char *
 cb_http_method (const cb_http_req_t *req)
 {
--- /dev/null
+++ b/test/base_test.cc
@@ -0,0 +1,37 @@
+// Guards the text of counters and histograms that monitoring reads.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "base/fns.h"
+
+namespace
+{
+
+// A time at a bucket's bound belongs to that bucket, larger buckets include it, and a
+// clock that went back must not wrap around to a huge sum.
+TEST (Counters, HistogramIsCumulativeAndNeverNegative)
+{
+  cb_counters_t *counters = cb_counters_new ();
+
+  cb_counters_observe (counters, "wait_ms", "kind=\"a\"", 100);
+  cb_counters_observe (counters, "wait_ms", "kind=\"a\"", 101);
+  cb_counters_observe (counters, "wait_ms", "kind=\"a\"", 40000);
+  cb_counters_observe (counters, "plain_ms", NULL, -5);
+  char *raw = cb_counters_text (counters);
+  std::string text = raw;
+  for (const char *line :
+       { "carobrun_wait_ms_bucket{kind=\"a\",le=\"50\"} 0\n",
+         "carobrun_wait_ms_bucket{kind=\"a\",le=\"100\"} 1\n",
+         "carobrun_wait_ms_bucket{kind=\"a\",le=\"250\"} 2\n",
+         "carobrun_wait_ms_bucket{kind=\"a\",le=\"30000\"} 2\n",
+         "carobrun_wait_ms_bucket{kind=\"a\",le=\"+Inf\"} 3\n",
+         "carobrun_wait_ms_sum{kind=\"a\"} 40201\n",
+         "carobrun_wait_ms_count{kind=\"a\"} 3\n",
+         "carobrun_plain_ms_bucket{le=\"1\"} 1\n", "carobrun_plain_ms_sum 0\n" })
+    EXPECT_NE (text.find (line), std::string::npos) << line << text;
+  g_free (raw);
+  cb_counters_free (counters);
+}
+
+} // namespace
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -71,7 +71,7 @@
 class BatchSite
 {
 public:
-  cb_batch_params_t params = { 6000, 400, 2900, 120000, 3 };
+  cb_batch_params_t params = { 6000, 400, 2900, 120000, 3, nullptr };
   cb_batch_t *lead = cb_batch_new (&params);
   cb_batch_t *follower = cb_batch_new (&params);
   cb_batch_config_t *config = cb_batch_config_new ();
--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -19,6 +19,7 @@
   std::vector<std::string> callers; // addresses of entries
   std::vector<std::string> ready;
   std::vector<std::string> controls;  // of agents
+  std::vector<std::string> metrics;   // of entries, then of agents
   std::vector<std::string> runners;   // addresses of workers
   std::vector<std::string> store_via; // what each entry calls the store
   std::string store = FreeAddress ();
@@ -32,6 +33,7 @@
       {
         callers.push_back (FreeAddress ());
         ready.push_back (FreeAddress ());
+        metrics.push_back (FreeAddress ());
         StartEntry (i, Via ("entry" + std::to_string (i), links));
       }
     for (int i = 0; i < workers; i++)
@@ -39,8 +41,10 @@
         std::string agent = "agent" + std::to_string (i);
         std::string wire = FreeAddress ();
         controls.push_back (FreeAddress ());
+        metrics.push_back (FreeAddress ());
         runners.push_back (FreeAddress ());
         Write (agent, "name: " + agent + "\ncontrol_address: '" + controls[i] +
+                          "'\nmetrics_address: '" + metrics.back () +
                           "'\nwire_address: '" + wire + "'\nstore_address: '" +
                           Via (agent, links) + "'\nhold_max_ms: 4000\ngrace_s: 6\n");
         StartAgent (i);
@@ -55,7 +59,8 @@
 
     if (!via.empty ())
       Write (name, "name: " + name + "\ncaller_address: '" + callers[i] +
-                       "'\nready_address: '" + ready[i] + "'\nstore_address: '" + via +
+                       "'\nready_address: '" + ready[i] + "'\nmetrics_address: '" +
+                       metrics[i] + "'\nstore_address: '" + via +
                        "'\nhold_max_ms: 4000\ngrace_s: 6\nstop_ms: 400\n"
                        "reclaim_ms: 2900\nstatus_s: 120\nremote_slowdown: 3\n"
                        "keep_s: 300\n");
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -1,5 +1,7 @@
 // Guards the whole path on the users' platform with real processes: accepted work runs
 // once over kills, outages of the store and lost answers, and answers are truthful.
+#include <sstream>
+
 #include "test/platform_site.h"
 
 using site::PlatformSite;
@@ -26,6 +28,49 @@
   site.CheckRuns ();
 }
 
+// Value of a series in METRICS, summed over its labels that contain LABEL; -1 without
+// one.
+double
+Sum (const std::string &metrics, const std::string &name, const std::string &label = "")
+{
+  std::istringstream lines (metrics);
+  std::string line;
+  double sum = -1;
+
+  while (std::getline (lines, line))
+    {
+      size_t end = line.find_last_of (' ');
+      std::string series = line.substr (0, end);
+
+      if (series.substr (0, series.find ('{')) != name ||
+          series.find (label) == std::string::npos)
+        continue;
+      sum = std::max (sum, 0.0) + std::stod (line.substr (end));
+    }
+  return sum;
+}
+
+// Guards against processes whose delays cannot be seen afterwards: each has counters
+// and histograms of what it did for a job.
+TEST (PlatformSite, MetricsShowWhereAJobSpentItsTime)
+{
+  PlatformSite site (2, 1);
+  std::string all;
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (2, 1, "run 50")).status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  for (const auto &address : site.metrics)
+    all += site.Call (address, "GET", "/metrics").body;
+  EXPECT_EQ (Sum (all, "carobrun_request_duration_ms_count", "POST"), 1);
+  EXPECT_GE (Sum (all, "carobrun_request_duration_ms_count", "GET"), 1);
+  EXPECT_EQ (Sum (all, "carobrun_job_wait_duration_ms_count", "priority=\"0\""), 1);
+  EXPECT_GE (Sum (all, "carobrun_store_append_duration_ms_count"), 1);
+  EXPECT_EQ (Sum (all, "carobrun_worker_call_duration_ms_count", "start"), 2);
+  EXPECT_EQ (Sum (all, "carobrun_worker_call_duration_ms_bucket", "start\",le=\"+Inf"),
+             2);
+}
+
 TEST (PlatformSite, KilledSchedulerIsReplacedAndWorkGoesOn)
 {
   PlatformSite site (3, 2);
