Read the log settings again on SIGHUP

Signal handling and the settings' command line were also in batch_entry.c for one process and again in batch_agent.c for the other.

cmd/batch_process.c now has the signals, the command line and the reload. log_level and log_lines_per_s take effect at once; the `reloaded` line says whether another setting differs, which takes a restart. A file with errors changes nothing.

Ruled out: applying bounds such as hold_max_ms while leases run under the old ones.

--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -90,7 +90,11 @@
 
 /* batch_entry.c */
 void cb_batch_pump (cb_batch_entry_t *entry);
+
+/* batch_process.c */
 cb_msec_t cb_batch_now (void);
+gboolean cb_batch_term_requested (void);
+void cb_batch_reload (const char *part);
 
 /* batch_log.c */
 void cb_batch_log_open (cb_batch_entry_t *entry);
--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -1,4 +1,3 @@
-#include <signal.h>
 #include <string.h>
 
 #include "cmd/batch.h"
@@ -84,18 +83,9 @@
   uint64_t number;
 } hold_t;
 
-static volatile sig_atomic_t term_requested;
-
 static void hold_worker (agent_t *agent);
 static void send_open_orders (agent_t *agent);
 
-static void
-on_signal (int signal_number)
-{
-  (void)signal_number;
-  term_requested = 1;
-}
-
 static gboolean
 has_worker (const agent_t *agent)
 {
@@ -662,7 +652,8 @@
   agent_t *agent = ctx;
   cb_msec_t now_ms = cb_batch_now ();
 
-  if (term_requested && agent->term_ms == 0)
+  cb_batch_reload ("agent");
+  if (cb_batch_term_requested () && agent->term_ms == 0)
     {
       agent->term_ms = now_ms;
       cb_event_always (CB_LOG_INFO, "agent", "stopping", "running=%zu",
@@ -687,10 +678,6 @@
   static agent_t agent; /* calls under way refer to it until the process ends */
 
   agent.settings = settings;
-  signal (SIGTERM, on_signal);
-  signal (SIGINT, on_signal);
-  signal (SIGPIPE, SIG_IGN);
-  signal (SIGHUP, SIG_IGN);
   agent.loop = cb_loop_new ();
   agent.store = cb_store_new (agent.loop, settings->store_address);
   agent.counters = cb_counters_new ();
--- a/cmd/fns.h
+++ b/cmd/fns.h
@@ -31,7 +31,7 @@
 int cb_cmd_read_files (const char *inventory_path, const char *rules_path,
                        Cb__Config **config);
 
-/* batch_entry.c */
+/* batch_process.c */
 int cb_cmd_platform (int argc, char **argv, const char *doc,
                      int (*run_command) (Cb__PlatformSettings *settings));
 
--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -151,6 +151,11 @@
   {
     return "/q" + std::to_string (priority) + "/" + Id (id);
   }
+  void
+  Append (const std::string &name, const std::string &text)
+  {
+    std::ofstream (Settings (name), std::ios::app) << text;
+  }
   // Entry that the logs show as the last to become scheduler, or -1.
   int
   Scheduler ()
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -71,6 +71,32 @@
              2);
 }
 
+// Guards against a process that ends or forgets its work when its settings file
+// changes, and against a file with errors that takes effect.
+TEST (PlatformSite, HangupReadsTheSettingsAgain)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 1500")).status, 200);
+  site.Append ("entry0", "log_level: warn\n");
+  site.Append ("agent0", "no_such_setting: 1\n");
+  site.Signal ("entry0", SIGHUP);
+  site.Signal ("agent0", SIGHUP);
+  EXPECT_TRUE (site.Until ([&] {
+    return site.Logged ("entry0", "event=reloaded log_level=warn") &&
+           site.Logged ("agent0", "event=reload_failed");
+  }));
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status, 200);
+  EXPECT_TRUE (site.Until ([&] {
+    return site.State (0, 1, 0) == "completed" && site.State (0, 2, 0) == "completed";
+  }));
+  EXPECT_TRUE (site.Logged ("entry0", "event=accepted job=" + site.Id (1)));
+  EXPECT_FALSE (site.Logged ("entry0", "event=accepted job=" + site.Id (2)));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+  site.CheckRuns ();
+}
+
 TEST (PlatformSite, KilledSchedulerIsReplacedAndWorkGoesOn)
 {
   PlatformSite site (3, 2);
