Split batch/lead.c and batch/state.c by task

No change in behaviour: functions moved as they are, but for watch_workers, which was the loop of cb_batch_tick.

--- a/batch/fns.h
+++ b/batch/fns.h
@@ -23,8 +23,6 @@
 cb_batch_t *cb_batch_new (const cb_batch_params_t *params);
 void cb_batch_free (cb_batch_t *batch);
 void cb_batch_set_config (cb_batch_t *batch, cb_batch_config_t *config);
-void cb_batch_apply (cb_batch_t *batch, uint64_t offset, const Cb__BatchRecord *record,
-                     cb_msec_t now_ms, cb_msec_t wall_ms);
 uint64_t cb_batch_epoch (const cb_batch_t *batch);
 const char *cb_batch_scheduler (const cb_batch_t *batch);
 cb_msec_t cb_batch_scheduler_seen_ms (const cb_batch_t *batch);
@@ -39,6 +37,10 @@
                           void (*fn) (void *ctx, const char *name, const char *address),
                           void *ctx);
 
+/* fold.c */
+void cb_batch_apply (cb_batch_t *batch, uint64_t offset, const Cb__BatchRecord *record,
+                     cb_msec_t now_ms, cb_msec_t wall_ms);
+
 /* snapshot.c */
 Cb__BatchSnapshot *cb_batch_save (const cb_batch_t *batch, uint64_t next);
 void cb_batch_load (cb_batch_t *batch, const Cb__BatchSnapshot *snapshot,
@@ -48,11 +50,10 @@
 int cb_batch_admit (const cb_batch_t *batch, const Cb__BatchJob *job, cb_msec_t now_ms,
                     cb_msec_t *retry_after_ms);
 
-/* lead.c: the scheduler's part. */
+/* lead.c: what only the scheduler does, with report.c and orders.c. */
 void cb_batch_lead (cb_batch_t *batch, uint64_t epoch, cb_msec_t now_ms);
 void cb_batch_report (cb_batch_t *batch, const char *agent,
                       const Cb__WorkerReport *report, cb_msec_t now_ms);
-
 void cb_batch_tick (cb_batch_t *batch, cb_msec_t now_ms, cb_msec_t wall_ms);
 void cb_batch_fill_beat (const cb_batch_t *batch, Cb__BatchBeat *beat);
 Cb__BatchRecord *cb_batch_take_record (cb_batch_t *batch);
--- /dev/null
+++ b/batch/fold.c
@@ -0,0 +1,298 @@
+#include "batch/local.h"
+
+#include <string.h>
+
+/* Pause in ms before a task whose start was rejected is placed again, so that a worker
+   that refuses everything causes no storm of records. */
+#define REJECTED_PAUSE_MS 250
+
+static void
+set_state (task_t *task, task_state_t state)
+{
+  step_state_t *step = task_step (task);
+
+  step->waiting -= task->state == TASK_WAITING;
+  step->started -= task->state == TASK_STARTED;
+  step->done -= task->state == TASK_DONE;
+  task->job->open_runs -= task->state == TASK_STARTED;
+  task->state = state;
+  step->waiting += state == TASK_WAITING;
+  step->started += state == TASK_STARTED;
+  step->done += state == TASK_DONE;
+  task->job->open_runs += state == TASK_STARTED;
+}
+
+static void
+check_completed (job_t *job, cb_msec_t wall_ms)
+{
+  if (!job_open (job))
+    return;
+  for (uint32_t k = 0; k < job->n_occurrences; k++)
+    for (size_t i = 0; i < job->spec->n_steps; i++)
+      {
+        const step_state_t *step = &job->occurrences[k].steps[i];
+
+        if (step->done < step->count)
+          return;
+      }
+  job->ended_wall_ms = wall_ms;
+}
+
+/* Forgets ended jobs whose time of being known is over. */
+static void
+prune (cb_batch_t *b, cb_msec_t wall_ms)
+{
+  GList *link = b->open.head;
+
+  while (link != NULL)
+    {
+      GList *next = link->next;
+      job_t *job = link->data;
+
+      if (job->ended_wall_ms != 0 && job->open_runs == 0 &&
+          wall_ms - job->ended_wall_ms > b->params.status_ms)
+        {
+          g_queue_delete_link (&b->open, link);
+          g_hash_table_remove (b->jobs, job->spec->id);
+        }
+      link = next;
+    }
+}
+
+static void
+apply_submit (cb_batch_t *b, const Cb__BatchJob *spec, cb_msec_t now_ms,
+              cb_msec_t wall_ms)
+{
+  if (find_job (b, spec->id) != NULL)
+    return;
+  prune (b, wall_ms);
+  add_job (b, spec, now_ms);
+  b->dirty = TRUE;
+}
+
+static void
+apply_cancel (cb_batch_t *b, const Cb__BatchCancel *cancel, cb_msec_t wall_ms)
+{
+  job_t *job = find_job (b, cancel->job);
+
+  if (job == NULL || !job_open (job))
+    return;
+  job->canceled = TRUE;
+  job->ended_wall_ms = wall_ms;
+  b->dirty = TRUE;
+}
+
+/* A claim is valid when it replaces the current epoch; its own epoch is the offset
+   after it, so that it is never 0. */
+static void
+apply_claim (cb_batch_t *b, uint64_t offset, const Cb__BatchClaim *claim,
+             cb_msec_t now_ms)
+{
+  if (claim->replaces_epoch != b->epoch)
+    return;
+  b->epoch = offset + 1;
+  b->resigned = FALSE;
+  b->scheduler_seen_ms = now_ms;
+  g_free (b->scheduler);
+  b->scheduler = g_strdup (claim->entry);
+  if (b->own_epoch != 0 && b->own_epoch != b->epoch)
+    cb_batch_lead (b, 0, now_ms);
+}
+
+static void
+apply_agent (cb_batch_t *b, const Cb__BatchAgent *message)
+{
+  agent_t *agent = g_hash_table_lookup (b->agents, message->name);
+
+  if (agent == NULL)
+    {
+      agent = g_new0 (agent_t, 1);
+      agent->name = g_strdup (message->name);
+      g_hash_table_insert (b->agents, agent->name, agent);
+    }
+  g_free (agent->address);
+  agent->address = g_strdup (message->address);
+  agent->entry = message->entry;
+}
+
+/* Counts how long JOB waited for its first run: by the scheduler only, so that the sum
+   over all entries counts each job once. A job that was read from a snapshot has waited
+   since then. */
+static void
+count_wait (const cb_batch_t *b, const job_t *job, cb_msec_t now_ms)
+{
+  char *label;
+
+  if (job->started || b->own_epoch == 0 || b->params.counters == NULL)
+    return;
+  label = g_strdup_printf ("priority=\"%u\"", job->spec->priority);
+  cb_counters_observe (b->params.counters, "job_wait_duration_ms", label,
+                       now_ms - job->folded_ms);
+  g_free (label);
+}
+
+static void
+apply_start (cb_batch_t *b, const Cb__TaskStart *start, cb_msec_t now_ms)
+{
+  task_t *task = find_task (b, start->run);
+
+  if (task == NULL)
+    return;
+  if (task->proposed_start)
+    {
+      task->proposed_start = FALSE;
+      detach_task (task);
+    }
+  if (task->state != TASK_WAITING || start->run->run <= task->run ||
+      !job_open (task->job))
+    return;
+  set_state (task, TASK_STARTED);
+  task->run = start->run->run;
+  task->started_ms = now_ms;
+  task->seen = FALSE;
+  task->stop = FALSE;
+  task->proposed_end = FALSE;
+  task->percent = 0;
+  task->percent_ms = now_ms;
+  count_wait (b, task->job, now_ms);
+  task->job->started = TRUE;
+  attach_task (get_worker (b, start->worker, start->born_ms, start->agent), task);
+  task->worker->orders_changed = TRUE;
+}
+
+static void
+finish_gang (step_state_t *step)
+{
+  for (uint32_t t = 0; t < step->count; t++)
+    {
+      task_t *task = &step->tasks[t];
+
+      if (task->state == TASK_DONE)
+        continue;
+      if (task->worker != NULL)
+        task->worker->orders_changed = TRUE;
+      detach_task (task);
+      task->proposed_start = FALSE;
+      set_state (task, TASK_DONE);
+    }
+}
+
+/* Counts a failed run: each of a task, one of a gang's members for all. */
+static void
+count_failure (task_t *task, cb_msec_t wall_ms)
+{
+  step_state_t *step = task_step (task);
+  const Cb__BatchStep *spec = task_spec (task);
+  uint32_t failures;
+
+  if (spec->daemon)
+    return;
+  if (spec->gang)
+    {
+      if (step->gang_failed_run != task->run)
+        step->gang_failures++;
+      step->gang_failed_run = task->run;
+      failures = step->gang_failures;
+    }
+  else
+    failures = ++task->failures;
+  if (failures < MAX (1, task->job->spec->attempts))
+    return;
+  set_state (task, TASK_FAILED);
+  if (!job_open (task->job))
+    return;
+  task->job->failed = TRUE;
+  task->job->ended_wall_ms = wall_ms;
+}
+
+static void
+apply_end (cb_batch_t *b, const Cb__TaskEnd *end, cb_msec_t now_ms, cb_msec_t wall_ms)
+{
+  task_t *task = find_task (b, end->run);
+  worker_t *w;
+
+  if (task == NULL || task->state != TASK_STARTED || task->run != end->run->run)
+    return;
+  w = task->worker;
+  learn_end (b, task, end->how, now_ms);
+  if (end->saved[0] != '\0')
+    {
+      g_free (task->saved);
+      task->saved = g_strdup (end->saved);
+    }
+  detach_task (task);
+  task->proposed_end = FALSE;
+  w->orders_changed = TRUE;
+  set_state (task, TASK_WAITING);
+  if (end->how == CB__RUN_END__RUN_DONE && !task_spec (task)->daemon)
+    {
+      set_state (task, TASK_DONE);
+      if (task_spec (task)->gang)
+        finish_gang (task_step (task));
+      check_completed (task->job, wall_ms);
+    }
+  else if (end->how == CB__RUN_END__RUN_FAILED)
+    count_failure (task, wall_ms);
+  else if (end->how == CB__RUN_END__RUN_REJECTED)
+    task->not_before_ms = now_ms + REJECTED_PAUSE_MS;
+  if (task->job->open_runs == 0)
+    task->job->idle_ms = now_ms;
+  b->dirty = TRUE;
+}
+
+static void
+apply_beat (cb_batch_t *b, const Cb__BatchBeat *beat)
+{
+  b->resigned = beat->resigns;
+  if (beat->n_fleet == 0)
+    return;
+  g_hash_table_remove_all (b->fleet);
+  for (size_t i = 0; i < beat->n_fleet; i++)
+    {
+      Cb__FleetSums *sums = (Cb__FleetSums *)cb_msg_copy (&beat->fleet[i]->base);
+
+      g_hash_table_replace (b->fleet, sums->service, sums);
+    }
+}
+
+/* Applies the record at OFFSET. A scheduler's record counts only when it is of the
+   current epoch. Records are idempotent: one that was appended twice has no second
+   effect. */
+void
+cb_batch_apply (cb_batch_t *b, uint64_t offset, const Cb__BatchRecord *record,
+                cb_msec_t now_ms, cb_msec_t wall_ms)
+{
+  if (record->epoch != 0 && record->epoch != b->epoch)
+    return;
+  if (record->epoch != 0)
+    b->scheduler_seen_ms = now_ms;
+  switch (record->body_case)
+    {
+    case CB__BATCH_RECORD__BODY_SUBMIT:
+      apply_submit (b, record->submit, now_ms, wall_ms);
+      return;
+    case CB__BATCH_RECORD__BODY_CANCEL:
+      apply_cancel (b, record->cancel, wall_ms);
+      return;
+    case CB__BATCH_RECORD__BODY_CLAIM:
+      apply_claim (b, offset, record->claim, now_ms);
+      return;
+    case CB__BATCH_RECORD__BODY_AGENT:
+      apply_agent (b, record->agent);
+      return;
+    case CB__BATCH_RECORD__BODY_STARTS:
+      for (size_t i = 0; i < record->starts->n_starts; i++)
+        apply_start (b, record->starts->starts[i], now_ms);
+      return;
+    case CB__BATCH_RECORD__BODY_ENDS:
+      for (size_t i = 0; i < record->ends->n_ends; i++)
+        apply_end (b, record->ends->ends[i], now_ms, wall_ms);
+      return;
+    case CB__BATCH_RECORD__BODY_BEAT:
+      apply_beat (b, record->beat);
+      return;
+    default:
+      cb_event (CB_LOG_WARN, "batch", "record_unknown", "offset=%" G_GUINT64_FORMAT,
+                offset);
+    }
+}
--- a/batch/local.h
+++ b/batch/local.h
@@ -193,6 +193,12 @@
                   cb_msec_t now_ms);
 void stop_task (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why);
 
+/* report.c */
+cb_msec_t lease_over (const cb_batch_t *b, cb_msec_t granted_ms);
+
+/* watch.c */
+void watch_workers (cb_batch_t *b, cb_msec_t now_ms);
+
 /* room.c */
 GPtrArray *rooms_new (cb_batch_t *b, cb_msec_t now_ms);
 gboolean room_fits (const room_t *room, const Cb__BatchStep *step);
@@ -211,7 +217,6 @@
 gboolean account_guaranteed (const cb_batch_t *b, const job_t *job);
 gboolean plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
                        gboolean guaranteed, cb_msec_t now_ms);
-
 void await_places (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
                    cb_msec_t now_ms);
 
