Report a connection that was never established as not sent

Nothing answered the connection attempt, the call's time limit passed, and the client of net/ reported CB_NET_TIMEOUT, which means that the request may have been sent. Callers must not repeat such a request.

A time-out before the connection is established is now CB_NET_CONNECT, which says that nothing was sent, also for calls to the store and to workers; and a call may have a limit for the connection alone, 0.3 s for relays.

Ruled out: the living entries, which answered relayed requests within 4 ms.

Http.UnansweredConnectionIsReportedAsNotSentWithinItsLimit is new: a listening socket with a full queue leaves connection attempts unanswered.

--- a/cmd/batch_relay.c
+++ b/cmd/batch_relay.c
@@ -7,6 +7,9 @@
 #define STALE_MS 1600
 /* Longest time in ms for another entry's answer; callers wait 3 s. */
 #define ANSWER_MS 2500
+/* Longest time in ms for a connection to another entry: some round trips between
+   regions, 20 ms one way. An entry whose instance is gone answers nothing. */
+#define CONNECT_MS 300
 /* Other entries that are tried while none can serve. */
 #define TRIES 2
 /* HTTP status of an entry that has lost the log too, or knows an older configuration.
@@ -158,6 +161,7 @@
                           .headers = relay->headers,
                           .body = cb_http_body (relay->req, &len),
                           .timeout_ms = ANSWER_MS,
+                          .connect_ms = CONNECT_MS,
                           .want_header = cb_platform_config_header,
                           .header_value = relay->version,
                           .keep_alive = TRUE };
--- a/net/client.c
+++ b/net/client.c
@@ -21,6 +21,7 @@
   h2o_http1client_ctx_t ctx;
   h2o_http1client_t *client;
   cb_timer_t *timer;
+  cb_timer_t *connect_timer; /* NULL: no limit of its own */
   cb_http_done_t done;
   void *done_ctx;
   GString *request;
@@ -39,6 +40,7 @@
 release_call (cb_http_call_t *call)
 {
   cb_timer_free (call->timer);
+  cb_timer_free (call->connect_timer);
   g_string_free (call->request, TRUE);
   g_string_free (call->body, TRUE);
   g_free (call);
@@ -69,7 +71,18 @@
 static void
 on_timeout (void *ctx)
 {
-  abandon (ctx, CB_NET_TIMEOUT);
+  cb_http_call_t *call = ctx;
+
+  abandon (call, call->sent ? CB_NET_TIMEOUT : CB_NET_CONNECT);
+}
+
+static void
+on_connect_timeout (void *ctx)
+{
+  cb_http_call_t *call = ctx;
+
+  if (!call->sent)
+    abandon (call, CB_NET_CONNECT);
 }
 
 static int
@@ -272,6 +285,9 @@
       return call;
     }
   call->timer = cb_timer_new (loop, spec->timeout_ms, 0, on_timeout, call);
+  if (spec->connect_ms > 0)
+    call->connect_timer =
+        cb_timer_new (loop, spec->connect_ms, 0, on_connect_timeout, call);
   if (spec->keep_alive)
     h2o_http1client_connect_with_pool (&call->client, call, &call->ctx,
                                        find_pool (loop, spec->address, parsed, port),
--- a/net/dat.h
+++ b/net/dat.h
@@ -42,6 +42,7 @@
   const void *body;
   size_t body_len;         /* bytes */
   cb_msec_t timeout_ms;    /* for the whole exchange */
+  cb_msec_t connect_ms;    /* for the connection alone; 0: no limit of its own */
   size_t max_body_bytes;   /* of the answer; 0: 16 MiB */
   gboolean keep_alive;     /* reuse idle connections to the address */
   const char *want_header; /* NULL, or a header of the answer, static text */
--- a/test/net_test.cc
+++ b/test/net_test.cc
@@ -1,7 +1,12 @@
 // Guards the network layer: whole answers, truncated answers, silent peers, delivery.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <string>
+#include <vector>
 
 #include "net/fns.h"
 #include "test/port.h"
@@ -43,7 +48,8 @@
 }
 
 void
-Call (Exchange *x, const char *address, const std::string &body, cb_msec_t timeout_ms)
+Call (Exchange *x, const char *address, const std::string &body, cb_msec_t timeout_ms,
+      cb_msec_t connect_ms = 0)
 {
   cb_http_spec_t spec = {};
 
@@ -53,6 +59,7 @@
   spec.body = body.data ();
   spec.body_len = body.size ();
   spec.timeout_ms = timeout_ms;
+  spec.connect_ms = connect_ms;
   cb_http_call (x->loop, &spec, Done, x);
   cb_loop_run (x->loop);
 }
@@ -95,6 +102,40 @@
   EXPECT_EQ (CB_NET_BAD_ADDRESS, x.err);
 }
 
+// Guards against an unknown outcome for a request that was never sent: an instance that
+// is gone answers no connection attempt. A socket whose queue of connections is full
+// does the same.
+TEST (Http, UnansweredConnectionIsReportedAsNotSentWithinItsLimit)
+{
+  std::string address = FreeAddress ();
+  uint16_t port = static_cast<uint16_t> (std::stoi (address.substr (10)));
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in addr = {};
+  std::vector<int> fillers;
+  Exchange x;
+
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons (port);
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ASSERT_EQ (0, bind (listener, reinterpret_cast<sockaddr *> (&addr), sizeof addr));
+  ASSERT_EQ (0, listen (listener, 0));
+  for (int i = 0; i < 4; i++)
+    {
+      fillers.push_back (socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      connect (fillers[i], reinterpret_cast<sockaddr *> (&addr), sizeof addr);
+    }
+  x.loop = cb_loop_new ();
+  gint64 start_us = g_get_monotonic_time ();
+  Call (&x, address.c_str (), "a", 20000, 200);
+  EXPECT_EQ (CB_NET_CONNECT, x.err);
+  EXPECT_LT (g_get_monotonic_time () - start_us, 2000000);
+  Call (&x, address.c_str (), "a", 100);
+  EXPECT_EQ (CB_NET_CONNECT, x.err) << "the limit of the whole exchange";
+  for (int fd : fillers)
+    close (fd);
+  close (listener);
+}
+
 struct Wires
 {
   cb_loop_t *loop;
