Remove settings of the batch processes that nothing reads

Cause: drain_ms, gang_ms, config_ms, visible_ms, restore_ms and heartbeat_ms were in the schema, the templates and the man page, and no code used them; a newcomer would look for their effect. `region` was not used either; the `started` lines now have it.

Ruled out: keeping them for later; the schema's numbers are private to the process, which reads YAML.

--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -698,8 +698,9 @@
                        settings->control_address, settings->metrics_address);
       return CB_EXIT_USAGE;
     }
-  cb_event_always (CB_LOG_INFO, "agent", "started", "name=%s zone=%s wire=%s",
-                   settings->name, settings->availability_zone, settings->wire_address);
+  cb_event_always (CB_LOG_INFO, "agent", "started", "name=%s region=%s zone=%s wire=%s",
+                   settings->name, settings->region, settings->availability_zone,
+                   settings->wire_address);
   agent.timer = cb_timer_new (agent.loop, 0, TICK_MS, on_tick, &agent);
   cb_loop_run (agent.loop);
   cb_event_always (CB_LOG_INFO, "agent", "stopped", "name=%s", settings->name);
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -84,8 +84,9 @@
   entry.saved_ms = cb_batch_now ();
   if (cb_batch_http_open (&entry) < 0)
     return CB_EXIT_USAGE;
-  cb_event_always (CB_LOG_INFO, "entry", "started", "name=%s zone=%s callers=%s",
-                   entry.identity, settings->availability_zone,
+  cb_event_always (CB_LOG_INFO, "entry", "started",
+                   "name=%s region=%s zone=%s callers=%s", entry.identity,
+                   settings->region, settings->availability_zone,
                    settings->caller_address);
   cb_batch_log_open (&entry);
   cb_batch_config_open (&entry);
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -3178,7 +3178,7 @@
   (ProtobufCMessageInit) cb__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__platform_settings__field_descriptors[25] =
+static const ProtobufCFieldDescriptor cb__platform_settings__field_descriptors[19] =
 {
   {
     "name",
@@ -3324,21 +3324,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "drain_ms",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Cb__PlatformSettings, drain_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "grace_s",
-    14,
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
@@ -3350,7 +3338,7 @@
   },
   {
     "stop_ms",
-    15,
+    14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
@@ -3360,21 +3348,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "gang_ms",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Cb__PlatformSettings, gang_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "reclaim_ms",
-    17,
+    15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
@@ -3384,33 +3360,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "config_ms",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Cb__PlatformSettings, config_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "visible_ms",
-    19,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Cb__PlatformSettings, visible_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "status_s",
-    20,
+    16,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
@@ -3422,7 +3374,7 @@
   },
   {
     "remote_slowdown",
-    21,
+    17,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
@@ -3432,33 +3384,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "restore_ms",
-    22,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Cb__PlatformSettings, restore_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "heartbeat_ms",
-    23,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Cb__PlatformSettings, heartbeat_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "keep_s",
-    24,
+    18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
@@ -3470,7 +3398,7 @@
   },
   {
     "log_lines_per_s",
-    25,
+    19,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -3484,34 +3412,28 @@
 static const unsigned cb__platform_settings__field_indices_by_name[] = {
   1,   /* field[1] = availability_zone */
   3,   /* field[3] = caller_address */
-  17,   /* field[17] = config_ms */
   5,   /* field[5] = control_address */
-  12,   /* field[12] = drain_ms */
-  15,   /* field[15] = gang_ms */
-  13,   /* field[13] = grace_s */
-  22,   /* field[22] = heartbeat_ms */
+  12,   /* field[12] = grace_s */
   11,   /* field[11] = hold_max_ms */
-  23,   /* field[23] = keep_s */
+  17,   /* field[17] = keep_s */
   10,   /* field[10] = log_level */
-  24,   /* field[24] = log_lines_per_s */
+  18,   /* field[18] = log_lines_per_s */
   7,   /* field[7] = metrics_address */
   0,   /* field[0] = name */
   4,   /* field[4] = ready_address */
-  16,   /* field[16] = reclaim_ms */
+  14,   /* field[14] = reclaim_ms */
   2,   /* field[2] = region */
-  20,   /* field[20] = remote_slowdown */
-  21,   /* field[21] = restore_ms */
-  19,   /* field[19] = status_s */
-  14,   /* field[14] = stop_ms */
+  16,   /* field[16] = remote_slowdown */
+  15,   /* field[15] = status_s */
+  13,   /* field[13] = stop_ms */
   8,   /* field[8] = store_address */
-  18,   /* field[18] = visible_ms */
   6,   /* field[6] = wire_address */
   9,   /* field[9] = worker_address */
 };
 static const ProtobufCIntRange cb__platform_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor cb__platform_settings__descriptor =
 {
@@ -3521,7 +3443,7 @@
   "Cb__PlatformSettings",
   "cb",
   sizeof(Cb__PlatformSettings),
-  25,
+  19,
   cb__platform_settings__field_descriptors,
   cb__platform_settings__field_indices_by_name,
   1,  cb__platform_settings__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -566,10 +566,6 @@
    * longest lease that a worker grants
    */
   double hold_max_ms;
-  /*
-   * no start later than this after a drain's acknowledgement
-   */
-  double drain_ms;
   /*
    * from SIGTERM to SIGKILL
    */
@@ -578,29 +574,15 @@
    * longest time that a worker needs to stop a run
    */
   double stop_ms;
-  /*
-   * members of a gang wait this long for the others
-   */
-  double gang_ms;
   /*
    * guaranteed work starts within this time
    */
   double reclaim_ms;
-  /*
-   * a configuration is in force after this time
-   */
-  double config_ms;
-  /*
-   * a view may be this old
-   */
-  double visible_ms;
   /*
    * ended jobs are known this long
    */
   double status_s;
   double remote_slowdown;
-  double restore_ms;
-  double heartbeat_ms;
   /*
    * retention of the store
    */
@@ -612,7 +594,7 @@
 };
 #define CB__PLATFORM_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__platform_settings__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /* Cb__BatchStep methods */
