Count silence only for the time that an answer of the log covers

An instance that was suspended finds an old empty answer in its socket when it goes on; counted up to its arrival, it shows a silence that nobody saw, and the entry claims a role that is held.

An empty answer now covers the time until its read was sent, plus the wait that was asked for.

Test changed: PlatformSite.EntryCutFromTheStoreNeverGoesBackInConfiguration cut entry0 off at once after both entries were ready. When the relay process of entry1 was not listening yet, entry1 wrote its address to the log only after the cut, and entry0 had nobody to pass requests on to: 404 by its own configuration.

--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -52,7 +52,7 @@
   gboolean caught_up; /* has read to the end at least once */
   gboolean reading;
   cb_msec_t read_ms;    /* when the last successful read was sent */
-  cb_msec_t answer_ms;  /* when its answer came */
+  cb_msec_t known_ms;   /* until then the log is known to have no newer record */
   cb_msec_t healthy_ms; /* since when reads have succeeded without a failure */
   gboolean healthy;
   cb_timer_t *read_timer;
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -190,14 +190,15 @@
 }
 
 /* Claims the scheduler's role when it is silent. A slow store delays the beats and what
-   reads show of them, so the silence is counted up to the last answer of the log, not
-   up to now. */
+   reads show of them, and an instance that was suspended finds old answers when it goes
+   on, so the silence is counted up to the time for which the log is known, not up to
+   now. */
 static void
 check_silence (cb_batch_entry_t *entry, cb_msec_t now_ms)
 {
   if (!entry->caught_up || !entry->healthy || entry->config == NULL)
     return;
-  if (cb_batch_lead_silent_in (entry, entry->answer_ms) <= 0)
+  if (cb_batch_lead_silent_in (entry, entry->known_ms) <= 0)
     claim (entry, now_ms);
 }
 
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -22,6 +22,7 @@
 {
   cb_batch_entry_t *entry;
   cb_msec_t sent_ms;
+  cb_msec_t wait_ms;
 } read_t;
 
 static void read_on (void *ctx);
@@ -133,6 +134,7 @@
   read_t *read = ctx;
   cb_batch_entry_t *entry = read->entry;
   cb_msec_t sent_ms = read->sent_ms;
+  cb_msec_t wait_ms = count == 0 ? read->wait_ms : 0;
 
   g_free (read);
   entry->reading = FALSE;
@@ -149,7 +151,7 @@
     }
   entry->healthy = TRUE;
   entry->read_ms = sent_ms;
-  entry->answer_ms = cb_batch_now ();
+  entry->known_ms = MIN (sent_ms + wait_ms, cb_batch_now ());
   for (size_t i = 0; i < count; i++)
     apply_one (entry, &records[i]);
   entry->next += count;
@@ -205,8 +207,9 @@
   read = g_new0 (read_t, 1);
   read->entry = entry;
   read->sent_ms = cb_batch_now ();
+  read->wait_ms = read_wait_ms (entry, read->sent_ms);
   cb_logc_read (cb_store_log (entry->store), CB_BATCH_STREAM, entry->next, 0,
-                read_wait_ms (entry, read->sent_ms), on_read, read);
+                read->wait_ms, on_read, read);
 }
 
 /* Starts to fold the log and to append to it. */
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -245,6 +245,10 @@
   const std::string added = "/extra/";
 
   ASSERT_TRUE (site.Up ());
+  // The job's record is behind the one with entry1's address: entry0 knows where to
+  // pass requests on to.
+  EXPECT_EQ (site.Submit (1, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
   site.Signal ("link-entry0", SIGSTOP);
   site.Publish (2, added);
   ASSERT_TRUE (site.Until (
