--- a/base/event.c
+++ b/base/event.c
@@ -107,6 +107,17 @@
   return TRUE;
 }
 
+G_GNUC_PRINTF (4, 0)
+static void
+write_formatted (cb_log_level_t level, const char *part, const char *event,
+                 const char *fmt, va_list args)
+{
+  char *fields = g_strdup_vprintf (fmt, args);
+
+  write_event (level, part, event, fields);
+  g_free (fields);
+}
+
 /* Writes one line `ts=T level=L part=P event=E FIELDS` to standard output, FIELDS as
    key=value pairs. A line over the event's budget, or one for which the pipe has no
    room, is left out and counted. */
@@ -115,15 +126,12 @@
           ...)
 {
   va_list args;
-  char *fields;
 
   if (!cb_log_enabled (level) || !take_budget (event))
     return;
   va_start (args, fmt);
-  fields = g_strdup_vprintf (fmt, args);
+  write_formatted (level, part, event, fmt, args);
   va_end (args);
-  write_event (level, part, event, fields);
-  g_free (fields);
 }
 
 /* As cb_event, without a budget: for refused, failed and lost work. */
@@ -132,13 +140,10 @@
                  const char *fmt, ...)
 {
   va_list args;
-  char *fields;
 
   if (!cb_log_enabled (level))
     return;
   va_start (args, fmt);
-  fields = g_strdup_vprintf (fmt, args);
+  write_formatted (level, part, event, fmt, args);
   va_end (args);
-  write_event (level, part, event, fields);
-  g_free (fields);
 }
--- a/batch/fold.c
+++ b/batch/fold.c
@@ -263,7 +263,12 @@
                 cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   if (record->epoch != 0 && record->epoch != b->epoch)
-    return;
+    {
+      cb_event (CB_LOG_INFO, "batch", "record_ignored",
+                "offset=%" PRIu64 " epoch=%" PRIu64 " current=%" PRIu64, offset,
+                record->epoch, b->epoch);
+      return;
+    }
   if (record->epoch != 0)
     b->scheduler_seen_ms = now_ms;
   switch (record->body_case)
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -1,4 +1,4 @@
-/* Shared by the parts of `carobrun batch-entry`. */
+/* Shared by the parts of `carobrun batch-entry`; batch_process.c also by the agent. */
 #ifndef CB_CMD_BATCH_H
 #define CB_CMD_BATCH_H
 
@@ -61,7 +61,7 @@
   gboolean saving;
 
   /* The configuration's tail. */
-  uint64_t config_next;
+  uint64_t config_next; /* offset to read */
   gboolean config_listed;
   gboolean config_failed; /* the last read failed: the next one does not wait */
   cb_msec_t config_read_ms;
@@ -90,11 +90,16 @@
 
 /* batch_entry.c */
 void cb_batch_pump (cb_batch_entry_t *entry);
+cb_batch_t *cb_batch_new_state (const cb_batch_entry_t *entry);
 
 /* batch_process.c */
 cb_msec_t cb_batch_now (void);
 gboolean cb_batch_term_requested (void);
 void cb_batch_reload (const char *part);
+Cb__BatchRecord *cb_batch_address_record (const char *name, const char *address,
+                                          gboolean is_entry);
+void cb_batch_reply_metrics (cb_http_req_t *req, cb_counters_t *counters,
+                             const cb_store_t *store);
 
 /* batch_log.c */
 void cb_batch_log_open (cb_batch_entry_t *entry);
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -59,18 +59,27 @@
   cb_batch_relay_register (entry);
 }
 
+/* Returns a new, empty state of the jobs. Freed with cb_batch_free. */
+cb_batch_t *
+cb_batch_new_state (const cb_batch_entry_t *entry)
+{
+  const cb_batch_params_t params = {
+    .hold_max_ms = (cb_msec_t)entry->settings->hold_max_ms,
+    .stop_ms = (cb_msec_t)entry->settings->stop_ms,
+    .reclaim_ms = (cb_msec_t)entry->settings->reclaim_ms,
+    .status_ms = (cb_msec_t)entry->settings->status_s * 1000,
+    .remote_slowdown = entry->settings->remote_slowdown,
+    .counters = entry->counters,
+  };
+
+  return cb_batch_new (&params);
+}
+
 static int
 run (Cb__PlatformSettings *settings)
 {
   static cb_batch_entry_t
       entry; /* calls under way refer to it until the process ends */
-  cb_batch_params_t params = {
-    .hold_max_ms = (cb_msec_t)settings->hold_max_ms,
-    .stop_ms = (cb_msec_t)settings->stop_ms,
-    .reclaim_ms = (cb_msec_t)settings->reclaim_ms,
-    .status_ms = (cb_msec_t)settings->status_s * 1000,
-    .remote_slowdown = settings->remote_slowdown,
-  };
 
   entry.settings = settings;
   entry.clock = cb_clock_system ();
@@ -79,8 +88,7 @@
   entry.loop = cb_loop_new ();
   entry.counters = cb_counters_new ();
   entry.store = cb_store_new (entry.loop, settings->store_address);
-  params.counters = entry.counters;
-  entry.batch = cb_batch_new (&params);
+  entry.batch = cb_batch_new_state (&entry);
   entry.saved_ms = cb_batch_now ();
   if (cb_batch_http_open (&entry) < 0)
     return CB_EXIT_USAGE;
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -276,7 +276,6 @@
 {
   cb_batch_entry_t *entry = ctx;
   cb_batch_sums_t sums;
-  char *text;
 
   cb_batch_sums (entry->batch, &sums);
   cb_counters_set (entry->counters, "jobs_open", NULL, sums.jobs);
@@ -287,13 +286,7 @@
   cb_counters_set (entry->counters, "accelerators", NULL, sums.accelerators);
   cb_counters_set (entry->counters, "accelerators_used", NULL, sums.accelerators_used);
   cb_counters_set (entry->counters, "scheduler", NULL, entry->own_epoch != 0);
-  cb_counters_set (entry->counters, "store_calls_total", NULL,
-                   cb_store_calls (entry->store));
-  cb_counters_set (entry->counters, "log_lines_dropped_total", NULL,
-                   cb_event_dropped ());
-  text = cb_counters_text (entry->counters);
-  cb_http_reply (req, 200, "text/plain; version=0.0.4", text, strlen (text));
-  g_free (text);
+  cb_batch_reply_metrics (req, entry->counters, entry->store);
 }
 
 static int
--- a/cmd/batch_process.c
+++ b/cmd/batch_process.c
@@ -2,6 +2,7 @@
 
 #include <argp.h>
 #include <signal.h>
+#include <string.h>
 #include <time.h>
 
 /* Of the process, as signals are. */
@@ -92,6 +93,35 @@
   cb_msg_free (settings);
 }
 
+/* Returns the record that tells schedulers, and other entries, the ADDRESS of the
+   process NAME: an entry's for callers or an agent's for orders. The caller owns it. */
+Cb__BatchRecord *
+cb_batch_address_record (const char *name, const char *address, gboolean is_entry)
+{
+  Cb__BatchRecord *record = cb_msg_new (&cb__batch_record__descriptor);
+
+  record->body_case = CB__BATCH_RECORD__BODY_AGENT;
+  record->agent = cb_msg_new (&cb__batch_agent__descriptor);
+  cb_msg_set_string (&record->agent->name, name);
+  cb_msg_set_string (&record->agent->address, address);
+  record->agent->entry = is_entry;
+  return record;
+}
+
+/* Answers REQ with COUNTERS and what every process counts. */
+void
+cb_batch_reply_metrics (cb_http_req_t *req, cb_counters_t *counters,
+                        const cb_store_t *store)
+{
+  char *text;
+
+  cb_counters_set (counters, "store_calls_total", NULL, cb_store_calls (store));
+  cb_counters_set (counters, "log_lines_dropped_total", NULL, cb_event_dropped ());
+  text = cb_counters_text (counters);
+  cb_http_reply (req, 200, "text/plain; version=0.0.4", text, strlen (text));
+  g_free (text);
+}
+
 static error_t
 parse (int key, char *arg, struct argp_state *state)
 {
--- a/cmd/batch_relay.c
+++ b/cmd/batch_relay.c
@@ -49,18 +49,13 @@
 void
 cb_batch_relay_register (cb_batch_entry_t *entry)
 {
-  Cb__BatchRecord *record;
-
   if (entry->registered || !entry->caught_up || !entry->healthy)
     return;
   entry->registered = TRUE;
-  record = cb_msg_new (&cb__batch_record__descriptor);
-  record->body_case = CB__BATCH_RECORD__BODY_AGENT;
-  record->agent = cb_msg_new (&cb__batch_agent__descriptor);
-  cb_msg_set_string (&record->agent->name, entry->settings->name);
-  cb_msg_set_string (&record->agent->address, entry->settings->caller_address);
-  record->agent->entry = TRUE;
-  cb_batch_append (entry, record, on_registered, NULL);
+  cb_batch_append (entry,
+                   cb_batch_address_record (entry->settings->name,
+                                            entry->settings->caller_address, TRUE),
+                   on_registered, NULL);
 }
 
 static void
--- a/cmd/batch_save.c
+++ b/cmd/batch_save.c
@@ -117,13 +117,6 @@
 {
   Cb__BatchSnapshot *snapshot =
       cb__batch_snapshot__unpack (NULL, bytes->len, bytes->data);
-  const cb_batch_params_t params = {
-    .hold_max_ms = (cb_msec_t)entry->settings->hold_max_ms,
-    .stop_ms = (cb_msec_t)entry->settings->stop_ms,
-    .reclaim_ms = (cb_msec_t)entry->settings->reclaim_ms,
-    .status_ms = (cb_msec_t)entry->settings->status_s * 1000,
-    .remote_slowdown = entry->settings->remote_slowdown,
-  };
 
   if (snapshot == NULL)
     {
@@ -133,12 +126,14 @@
     }
   if (entry->next > 0 && snapshot->next <= entry->next)
     {
+      cb_event_always (CB_LOG_WARN, "entry", "snapshot_ignored",
+                       "next=%" PRIu64 " folded=%" PRIu64, snapshot->next, entry->next);
       cb_msg_free (snapshot);
       return;
     }
   cb_batch_lead_close (entry);
   cb_batch_free (entry->batch);
-  entry->batch = cb_batch_new (&params);
+  entry->batch = cb_batch_new_state (entry);
   if (entry->config != NULL)
     cb_batch_set_config (entry->batch, entry->config);
   cb_batch_load (entry->batch, snapshot, cb_batch_now (), cb_clock_wall (entry->clock));
--- a/test/batch_admit_test.cc
+++ b/test/batch_admit_test.cc
@@ -47,6 +47,14 @@
   site.Append (record);
 }
 
+// Submits the jobs FROM to TO - 1 of 64 tasks each.
+void
+SubmitWide (BatchSite &site, int from, int to, uint32_t priority)
+{
+  for (int i = from; i < to; i++)
+    site.Submit ("j" + std::to_string (i), priority, { { 64, 1 } });
+}
+
 TEST (BatchAdmit, RefusesWhatNoWorkerCanHold)
 {
   BatchSite site (4, 2);
@@ -68,11 +76,9 @@
   Beat (site);
   // 32 accelerators; each job of 64 tasks is 2 s of the fleet; 3 x (3 + 3) s are
   // useful.
-  for (int i = 0; i < 8; i++)
-    site.Submit ("j" + std::to_string (i), 1, { { 64, 1 } });
+  SubmitWide (site, 0, 8, 1);
   EXPECT_EQ (Admit (site, NewJob (1, 1, 1), &retry), CB_OK);
-  for (int i = 8; i < 10; i++)
-    site.Submit ("j" + std::to_string (i), 1, { { 64, 1 } });
+  SubmitWide (site, 8, 10, 1);
   EXPECT_EQ (Admit (site, NewJob (1, 1, 1), &retry), CB_BATCH_OVERLOADED);
   EXPECT_GE (retry, 1000);
   EXPECT_EQ (Admit (site, NewJob (0, 1, 1), &retry), CB_OK);
@@ -87,8 +93,7 @@
   cb_msec_t retry;
 
   Beat (site);
-  for (int i = 0; i < 20; i++)
-    site.Submit ("j" + std::to_string (i), 2, { { 64, 1 } });
+  SubmitWide (site, 0, 20, 2);
   EXPECT_EQ (Admit (site, NewJob (1, 1, 1), &retry), CB_OK);
   EXPECT_EQ (Admit (site, NewJob (2, 1, 1), &retry), CB_BATCH_OVERLOADED);
 }
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -183,6 +183,24 @@
     record->submit = job;
     Append (record);
   }
+  // Submits ID, whose tasks take TASK_MS each, and lets FOR_MS pass.
+  void
+  SubmitAndRun (const std::string &id, uint32_t priority, std::vector<StepSpec> steps,
+                cb_msec_t task_ms, cb_msec_t for_ms, const std::string &account = "acc")
+  {
+    length_ms[id] = task_ms;
+    Submit (id, priority, std::move (steps), account);
+    Advance (for_ms);
+  }
+  // The first worker that runs something, null without one.
+  Worker *
+  Busy () const
+  {
+    for (const auto &w : workers)
+      if (!w->running.empty ())
+        return w.get ();
+    return nullptr;
+  }
   void
   Cancel (const std::string &id)
   {
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -10,9 +10,7 @@
 {
   BatchSite site (4, 2, { { "owner", 16 } });
 
-  site.length_ms["lent"] = 60000;
-  site.Submit ("lent", 0, { { 32, 1 } }, "other");
-  site.Advance (300);
+  site.SubmitAndRun ("lent", 0, { { 32, 1 } }, 60000, 300, "other");
   EXPECT_EQ (site.Running ("lent"), 32);
   cb_msec_t accepted = site.now;
   site.Submit ("own", 0, { { 2, 8, 1000, true, true } }, "owner");
@@ -27,9 +25,7 @@
 {
   BatchSite site (1, 1, { { "owner", 8 } });
 
-  site.length_ms["lent"] = 1000;
-  site.Submit ("lent", 2, { { 8, 1 } }, "other");
-  site.Advance (900);
+  site.SubmitAndRun ("lent", 2, { { 8, 1 } }, 1000, 900, "other");
   site.workers[0]->stuck = true;
   cb_msec_t accepted = site.now;
   site.Submit ("own", 0, { { 1, 8 } }, "owner");
@@ -63,9 +59,7 @@
 {
   BatchSite site (1, 1);
 
-  site.length_ms["plain"] = 60000;
-  site.Submit ("plain", 1, { { 1, 8 } });
-  site.Advance (30000);
+  site.SubmitAndRun ("plain", 1, { { 1, 8 } }, 60000, 30000);
   site.Submit ("urgent", 0, { { 1, 8 } });
   site.Advance (3000);
   EXPECT_EQ (site.Running ("plain"), 1);
@@ -76,9 +70,7 @@
 {
   BatchSite site (2, 2);
 
-  site.length_ms["fill"] = 60000;
-  site.Submit ("fill", 2, { { 16, 1, 1000, false, false, true } });
-  site.Advance (4000);
+  site.SubmitAndRun ("fill", 2, { { 16, 1, 1000, false, false, true } }, 60000, 4000);
   StepSpec apart;
   apart.count = 4;
   apart.per_worker_max = 1;
@@ -103,9 +95,7 @@
 {
   BatchSite site (5, 5);
 
-  site.length_ms["wide"] = 4000;
-  site.Submit ("wide", 2, { { 5, 8 } });
-  site.Advance (200);
+  site.SubmitAndRun ("wide", 2, { { 5, 8 } }, 4000, 200);
   site.Submit ("late", 2, { { 1, 8 } });
   site.Advance (2500);
   EXPECT_GE (site.first_start_ms.count ("wide.0.0.0"), 1u);
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -27,9 +27,7 @@
   BatchSite site (2, 2);
 
   site.workers[1]->rejects = true;
-  site.length_ms["g"] = 60000;
-  site.Submit ("g", 0, { { 2, 8, 1000, true } });
-  site.Advance (500);
+  site.SubmitAndRun ("g", 0, { { 2, 8, 1000, true } }, 60000, 500);
   site.workers[1]->rejects = false;
   site.Advance (1000);
   EXPECT_EQ (site.Running ("g"), 2);
@@ -57,11 +55,9 @@
 {
   BatchSite site (2, 2);
 
-  site.length_ms["j"] = 60000;
-  site.Submit ("j", 1, { { 1, 8 } });
-  site.Advance (300);
-  Worker *first = site.workers[0]->running.empty () ? site.workers[1].get ()
-                                                    : site.workers[0].get ();
+  site.SubmitAndRun ("j", 1, { { 1, 8 } }, 60000, 300);
+  Worker *first = site.Busy ();
+  ASSERT_NE (first, nullptr);
   ASSERT_EQ (first->running.size (), 1u);
   first->reached = false;
   site.Advance (5500);
@@ -77,11 +73,9 @@
 {
   BatchSite site (2, 2);
 
-  site.length_ms["j"] = 60000;
-  site.Submit ("j", 1, { { 1, 8 } });
-  site.Advance (300);
-  Worker *first = site.workers[0]->running.empty () ? site.workers[1].get ()
-                                                    : site.workers[0].get ();
+  site.SubmitAndRun ("j", 1, { { 1, 8 } }, 60000, 300);
+  Worker *first = site.Busy ();
+  ASSERT_NE (first, nullptr);
   first->up = false;
   for (int i = 0; i < 100; i++)
     {
@@ -96,9 +90,7 @@
 {
   BatchSite site (1, 1);
 
-  site.length_ms["j"] = 3000;
-  site.Submit ("j", 1, { { 1, 8 } });
-  site.Advance (300);
+  site.SubmitAndRun ("j", 1, { { 1, 8 } }, 3000, 300);
   site.Crash (*site.workers[0]);
   site.Advance (400);
   EXPECT_EQ (site.Running ("j"), 1);
@@ -112,11 +104,9 @@
 {
   BatchSite site (2, 2);
 
-  site.length_ms["j"] = 2000;
-  site.Submit ("j", 0, { { 1, 8 } });
-  site.Advance (20);
-  Worker *first = site.workers[0]->running.empty () ? site.workers[1].get ()
-                                                    : site.workers[0].get ();
+  site.SubmitAndRun ("j", 0, { { 1, 8 } }, 2000, 20);
+  Worker *first = site.Busy ();
+  ASSERT_NE (first, nullptr);
   ASSERT_EQ (first->running.size (), 1u);
   site.Crash (*first);
   site.LateStart (*first, "j.0.0.0", 1);
@@ -128,9 +118,7 @@
 {
   BatchSite site (3, 3);
 
-  site.length_ms["j"] = 3000;
-  site.Submit ("j", 0, { { 3, 8 } });
-  site.Advance (300);
+  site.SubmitAndRun ("j", 0, { { 3, 8 } }, 3000, 300);
   EXPECT_EQ (site.Running ("j"), 3);
   uint64_t old_epoch = site.epoch;
   site.Claim (site.follower);
@@ -185,9 +173,7 @@
 {
   BatchSite site (2, 2);
 
-  site.length_ms["j"] = 60000;
-  site.Submit ("j", 0, { { 20, 1 } });
-  site.Advance (300);
+  site.SubmitAndRun ("j", 0, { { 20, 1 } }, 60000, 300);
   EXPECT_EQ (site.Running ("j"), 16);
   site.Cancel ("j");
   site.Advance (300);
@@ -202,11 +188,9 @@
 {
   BatchSite site (2, 2);
 
-  site.length_ms["u"] = 3000;
-  site.Submit ("u", 0, { { 1, 8 } });
-  site.Advance (1000);
-  Worker *first = site.workers[0]->running.empty () ? site.workers[1].get ()
-                                                    : site.workers[0].get ();
+  site.SubmitAndRun ("u", 0, { { 1, 8 } }, 3000, 1000);
+  Worker *first = site.Busy ();
+  ASSERT_NE (first, nullptr);
   first->stuck = true;
   site.Advance (3500);
   EXPECT_EQ (first->running.size (), 0u);
@@ -222,9 +206,7 @@
   BatchSite site (1, 1);
 
   site.workers[0]->mute = true;
-  site.length_ms["u"] = 6000;
-  site.Submit ("u", 0, { { 1, 8 } });
-  site.Advance (12000);
+  site.SubmitAndRun ("u", 0, { { 1, 8 } }, 6000, 12000);
   EXPECT_EQ (site.Status ("u"), CB_JOB_COMPLETED);
 }
 
@@ -248,9 +230,7 @@
 
   site.workers[0]->draining = true;
   site.Advance (200);
-  site.length_ms["j"] = 60000;
-  site.Submit ("j", 0, { { 16, 1 } });
-  site.Advance (500);
+  site.SubmitAndRun ("j", 0, { { 16, 1 } }, 60000, 500);
   EXPECT_EQ (site.workers[0]->running.size (), 0u);
   EXPECT_EQ (site.workers[1]->running.size (), 8u);
 }
