Read all pages of what the operator wrote

The list of the newest records comes in pages of 500 items or 1 MB; an entry that started took the first page only, logged config_list_cut and went on. With 500 other keys before `config` it never had a configuration and refused everything.

The list now goes on after the last key. The stand-in of the store gives pages of 500 keys in order.

Ruled out: a watch from offset 0, which may be deleted.

PlatformSite.ConfigurationBehindAPageOfOtherKeysIsFound fails without the change (no configuration after 90 s).

--- a/cmd/batch_config.c
+++ b/cmd/batch_config.c
@@ -5,12 +5,14 @@
 /* As for the log: a silent connection is noticed within twice this time, inside the
    bound for a configuration to be in force. */
 #define READ_WAIT_MS 800
+/* Pause after a failed read. */
 #define RETRY_MS 150
 
 typedef struct
 {
   cb_batch_entry_t *entry;
   gboolean list;
+  gboolean first_page; /* of the list */
   cb_msec_t sent_ms;
 } read_t;
 
@@ -31,6 +33,10 @@
     }
   if (entry->config != NULL && config->version <= entry->config->version)
     {
+      if (config->version < entry->config->version)
+        cb_event_always (CB_LOG_WARN, "entry", "config_ignored",
+                         "version=%" PRIu64 " in_force=%" PRIu64 " offset=%" PRIu64,
+                         config->version, entry->config->version, item->offset);
       cb_batch_config_unref (config);
       return;
     }
@@ -49,14 +55,11 @@
 {
   read_t *read = ctx;
   cb_batch_entry_t *entry = read->entry;
-  gboolean list = read->list;
 
   entry->config_failed = err < 0;
-  if (err == CB_OK)
-    entry->config_read_ms = read->sent_ms;
-  g_free (read);
   if (err < 0)
     {
+      g_free (read);
       if (err == CB_PLATFORM_EXPIRED)
         entry->config_listed = FALSE;
       cb_timer_free (entry->config_timer);
@@ -65,10 +68,20 @@
     }
   for (size_t i = 0; i < count; i++)
     take_config (entry, &items[i]);
-  if (list && more)
-    cb_event (CB_LOG_WARN, "entry", "config_list_cut", "items=%zu", count);
-  entry->config_next = next;
+  /* Pages are not a snapshot: what changes while they are read comes after the end that
+     the first one gives. */
+  if (!read->list || read->first_page)
+    entry->config_next = next;
+  if (read->list && more && count > 0)
+    {
+      read->first_page = FALSE;
+      cb_store_newest (entry->store, cb_platform_config_topic, items[count - 1].key,
+                       on_items, read);
+      return;
+    }
   entry->config_listed = TRUE;
+  entry->config_read_ms = read->sent_ms;
+  g_free (read);
   read_on (entry);
 }
 
@@ -82,6 +95,7 @@
   entry->config_timer = NULL;
   read->entry = entry;
   read->list = !entry->config_listed;
+  read->first_page = TRUE;
   read->sent_ms = cb_batch_now ();
   if (read->list)
     cb_store_newest (entry->store, cb_platform_config_topic, NULL, on_items, read);
--- a/fakes/store.c
+++ b/fakes/store.c
@@ -13,6 +13,8 @@
 #define LENGTH_BYTES 4
 #define MAX_ANSWER_BYTES ((size_t)1 << 20)
 #define KEYED_PREFIX "keyed."
+/* Items in one page of the newest records, as the platform's store gives them. */
+#define PAGE_ITEMS 500
 /* 150 times the 4 ms of the platform's store. */
 #define SLOW_MS 600
 /* Period in ms in which waiting reads are looked at. */
@@ -121,29 +123,52 @@
                             (json_int_t)topic->records->len));
 }
 
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+static json_t *
+newest_item (const topic_t *topic, const char *key, guint offset)
+{
+  gsize size;
+  const uint8_t *data = g_bytes_get_data (topic->records->pdata[offset], &size);
+  char *value = g_base64_encode (data + 1 + data[0], size - 1 - data[0]);
+  json_t *item =
+      json_pack ("{s:s,s:s,s:i}", "key", key, "value", value, "offset", (int)offset);
+
+  g_free (value);
+  return item;
+}
+
+/* Answers a page of the newest records by key, from the one after the query's `after`.
+ */
 static void
 on_newest (cb_http_req_t *req, const topic_t *topic)
 {
+  const char *after = cb_http_query (req, "after");
+  GTree *newest = g_tree_new_full (compare_keys, NULL, g_free, NULL);
   json_t *items = json_array ();
-  GHashTable *seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GTreeNode *at;
 
-  for (guint i = topic->records->len; i > 0; i--)
+  for (guint i = 0; i < topic->records->len; i++)
     {
-      gsize size;
-      const uint8_t *data = g_bytes_get_data (topic->records->pdata[i - 1], &size);
-      char *key = g_strndup ((const char *)data + 1, data[0]);
-      char *value = g_base64_encode (data + 1 + data[0], size - 1 - data[0]);
-
-      if (!g_hash_table_contains (seen, key))
-        json_array_append_new (items, json_pack ("{s:s,s:s,s:i}", "key", key, "value",
-                                                 value, "offset", (int)i - 1));
-      g_hash_table_add (seen, key);
-      g_free (value);
+      const uint8_t *data = g_bytes_get_data (topic->records->pdata[i], NULL);
+
+      g_tree_replace (newest, g_strndup ((const char *)data + 1, data[0]),
+                      GUINT_TO_POINTER (i));
     }
-  g_hash_table_unref (seen);
+  at = after == NULL ? g_tree_node_first (newest) : g_tree_upper_bound (newest, after);
+  for (; at != NULL && json_array_size (items) < PAGE_ITEMS; at = g_tree_node_next (at))
+    json_array_append_new (items,
+                           newest_item (topic, g_tree_node_key (at),
+                                        GPOINTER_TO_UINT (g_tree_node_value (at))));
   cb_fake_reply (req, 200,
-                 json_pack ("{s:o,s:b,s:i}", "items", items, "more", 0, "end",
+                 json_pack ("{s:o,s:b,s:i}", "items", items, "more", at != NULL, "end",
                             (int)topic->records->len));
+  g_tree_unref (newest);
 }
 
 static void
--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -25,8 +25,9 @@
   std::string store = FreeAddress ();
 
   // With LINKS, each entry and agent reaches the store through a relay of its own.
-  PlatformSite (int n_entries, int n_workers, bool links = false)
-      : entries (n_entries), workers (n_workers)
+  // Entries write a snapshot each quarter of KEEP_S.
+  PlatformSite (int n_entries, int n_workers, bool links = false, int keep_s = 300)
+      : entries (n_entries), workers (n_workers), keep_s_ (keep_s)
   {
     Start ("store", "carobrun-fake-store", { "--listen", store });
     for (int i = 0; i < entries; i++)
@@ -63,7 +64,8 @@
                        metrics[i] + "'\nstore_address: '" + via +
                        "'\nhold_max_ms: 4000\ngrace_s: 6\nstop_ms: 400\n"
                        "reclaim_ms: 2900\nstatus_s: 120\nremote_slowdown: 3\n"
-                       "keep_s: 300\n");
+                       "keep_s: " +
+                       std::to_string (keep_s_) + "\n");
     Start (name, "carobrun", { "batch-entry", "--settings", Settings (name) });
   }
   void
@@ -99,14 +101,27 @@
       text += ",{\"name\":\"x\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"" + extra +
               "\",\"service\":\"svc\",\"public\":true}";
     text += "],\"tenants\":[]}";
-    std::string record = std::string (1, 6) + "config" + text;
-    std::string body = { static_cast<char> (record.size () >> 24),
-                         static_cast<char> (record.size () >> 16),
-                         static_cast<char> (record.size () >> 8),
-                         static_cast<char> (record.size ()) };
+    Operate (Keyed ("config", text));
+  }
+  // A record with KEY as an append to a keyed topic holds it.
+  static std::string
+  Keyed (const std::string &key, const std::string &value)
+  {
+    std::string record = std::string (1, static_cast<char> (key.size ())) + key + value;
+    std::string length = { static_cast<char> (record.size () >> 24),
+                           static_cast<char> (record.size () >> 16),
+                           static_cast<char> (record.size () >> 8),
+                           static_cast<char> (record.size ()) };
+
+    return length + record;
+  }
+  // Appends RECORDS as the operator does.
+  void
+  Operate (const std::string &records)
+  {
     Until ([&] {
-      return Call (store, "POST", "/api/log-append?topic=keyed.op&part=0",
-                   body + record, 2000)
+      return Call (store, "POST", "/api/log-append?topic=keyed.op&part=0", records,
+                   2000)
                  .status == 200;
     });
   }
@@ -268,6 +283,8 @@
   }
 
 private:
+  int keep_s_;
+
   std::string
   Settings (const std::string &name) const
   {
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -71,6 +71,47 @@
              2);
 }
 
+// Guards against an entry that sees only the first page of what the operator wrote: it
+// would start without the configuration.
+TEST (PlatformSite, ConfigurationBehindAPageOfOtherKeysIsFound)
+{
+  PlatformSite site (1, 1);
+  std::string others;
+
+  ASSERT_TRUE (site.Up ());
+  site.Kill ("entry0");
+  for (int i = 0; i < 600; i++)
+    others += site.Keyed ("a" + std::to_string (i), "x");
+  site.Operate (others);
+  site.StartEntry (0);
+  EXPECT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+}
+
+// Guards against an entry that loses its metrics when it starts from a snapshot.
+TEST (PlatformSite, MetricsAreKeptOverASnapshot)
+{
+  PlatformSite site (1, 1, false, 4);
+  std::string text;
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  ASSERT_TRUE (site.Until ([&] {
+    return site.State (0, 1, 0) == "completed" &&
+           site.Logged ("entry0", "event=snapshot_written");
+  }));
+  site.Kill ("entry0");
+  site.StartEntry (0);
+  ASSERT_TRUE (
+      site.Until ([&] { return site.Logged ("entry0", "event=snapshot_read"); }));
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status == 200; }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
+  text = site.Call (site.metrics[0], "GET", "/metrics").body;
+  EXPECT_EQ (Sum (text, "carobrun_job_wait_duration_ms_count", "priority=\"0\""), 1);
+}
+
 // Guards against a process that ends or forgets its work when its settings file
 // changes, and against a file with errors that takes effect.
 TEST (PlatformSite, HangupReadsTheSettingsAgain)
