--- a/batch/admit.c
+++ b/batch/admit.c
@@ -95,8 +95,7 @@
    that this answers is a long overload; a burst passes within the slack of what is not
    urgent, and urgent work goes first. */
 int
-cb_batch_admit (const cb_batch_t *b, const Cb__BatchJob *job, cb_msec_t now_ms,
-                cb_msec_t *retry_after_ms)
+cb_batch_admit (const cb_batch_t *b, const Cb__BatchJob *job, cb_msec_t *retry_after_ms)
 {
   const Cb__FleetSums *fleet = g_hash_table_lookup (b->fleet, job->service);
   double chain = 0;
@@ -104,7 +103,6 @@
   double backlog;
   int err = check_steps (job);
 
-  (void)now_ms;
   *retry_after_ms = 0;
   if (err < 0 || fleet == NULL || fleet->workers < FLEET_LEAST)
     return err;
--- a/batch/dat.h
+++ b/batch/dat.h
@@ -39,7 +39,6 @@
   char *service;     /* its workers run the tasks */
   uint32_t priority; /* 0 comes first */
   uint32_t attempts; /* failed runs of a task before the job fails */
-  uint32_t timeout_ms;
   uint32_t slack_ms; /* objective: stretch x longest chain of work + slack */
   double stretch;
   gboolean open; /* callers need no key */
--- a/batch/fns.h
+++ b/batch/fns.h
@@ -47,7 +47,7 @@
                     cb_msec_t now_ms, cb_msec_t wall_ms);
 
 /* admit.c */
-int cb_batch_admit (const cb_batch_t *batch, const Cb__BatchJob *job, cb_msec_t now_ms,
+int cb_batch_admit (const cb_batch_t *batch, const Cb__BatchJob *job,
                     cb_msec_t *retry_after_ms);
 
 /* lead.c: what only the scheduler does, with report.c and orders.c. */
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -141,7 +141,7 @@
   job->stretch_milli = (uint32_t)(queue->stretch * 1000);
   job->slack_ms = queue->slack_ms;
   job->accepted_ms = (uint64_t)cb_clock_wall (entry->clock);
-  err = cb_batch_admit (entry->batch, job, cb_batch_now (), &retry_after_ms);
+  err = cb_batch_admit (entry->batch, job, &retry_after_ms);
   if (err < 0)
     {
       cb_msg_free (job);
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -9,10 +9,14 @@
 /* Entries claim one after the other, so that one claim is enough: up to this many ms
    apart, by a hash of their names. */
 #define STAGGER_MS 250
+/* A claim that has shown no effect after this long is appended again: an append gets at
+   most 1.0 s while the store is well. */
 #define CLAIM_RETRY_MS 1500
 /* An agent that has not reported for this long gets a new connection. Reports come
    twice a second. */
 #define LINK_SILENCE_MS 1500
+/* Orders without news go out at least this often, as the agent's reports answer them.
+ */
 #define HELLO_MS 400
 
 static Cb__BatchRecord *
@@ -56,7 +60,11 @@
       cb_batch_orders (entry->batch, link->agent, may_grant, now_ms);
   link->sent_ms = now_ms;
   if (cb_wire_send (link->wire, NULL, envelope) < 0)
-    cb_counters_add (entry->counters, "agent_sends_failed_total", NULL, 1);
+    {
+      cb_counters_add (entry->counters, "agent_sends_failed_total", NULL, 1);
+      cb_event (CB_LOG_WARN, "entry", "orders_not_sent", "agent=%s address=%s",
+                link->agent, link->address);
+    }
   cb_msg_free (envelope);
 }
 
@@ -73,10 +81,12 @@
     return;
   if (envelope->epoch != entry->own_epoch)
     {
-      if (envelope->epoch > entry->own_epoch)
-        cb_event (CB_LOG_WARN, "entry", "agent_has_newer_epoch",
-                  "agent=%s epoch=%" PRIu64 " own=%" PRIu64, link->agent,
-                  envelope->epoch, entry->own_epoch);
+      gboolean newer = envelope->epoch > entry->own_epoch;
+
+      cb_event (newer ? CB_LOG_WARN : CB_LOG_INFO, "entry",
+                newer ? "agent_has_newer_epoch" : "report_ignored",
+                "agent=%s epoch=%" PRIu64 " own=%" PRIu64, link->agent, envelope->epoch,
+                entry->own_epoch);
       return;
     }
   link->heard_ms = now_ms;
--- a/test/batch_admit_test.cc
+++ b/test/batch_admit_test.cc
@@ -29,7 +29,7 @@
 int
 Admit (BatchSite &site, Cb__BatchJob *job, cb_msec_t *retry_after_ms)
 {
-  int err = cb_batch_admit (site.follower, job, site.now, retry_after_ms);
+  int err = cb_batch_admit (site.follower, job, retry_after_ms);
 
   cb_msg_free (job);
   return err;
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -71,6 +71,24 @@
         << text;
 }
 
+// Guards against sizes that do not fit their type and are taken for small ones: a job
+// of 2^32 + 1 tasks was accepted as one of 1 task.
+TEST (Platform, AbsurdSizesOfAJobStayAbsurd)
+{
+  const std::string text =
+      "{\"spec\":\"do\",\"steps\":[{\"count\":4294967297,\"cpu\":1e300,\"memMb\":-5,"
+      "\"gpu\":4294967296,\"after\":[4294967296,-1,\"x\"]}]}";
+  Cb__BatchJob *job = nullptr;
+
+  ASSERT_EQ (cb_platform_job_read (text.data (), text.size (), &job), CB_OK);
+  EXPECT_EQ (job->steps[0]->count, UINT32_MAX);
+  EXPECT_EQ (job->steps[0]->cpu_milli, UINT32_MAX);
+  EXPECT_EQ (job->steps[0]->memory_mb, 0u);
+  EXPECT_EQ (job->steps[0]->accelerators, UINT32_MAX);
+  EXPECT_EQ (job->steps[0]->after[0], UINT32_MAX);
+  cb_msg_free (job);
+}
+
 TEST (Platform, ReadsAJob)
 {
   const std::string text =
