Do not take a run whose end waits for the log as one that stands still

Cause: the check of progress looks at tasks whose run has started by the log. While the log is away, an end is proposed but not folded, so the run's percentage no longer changes.

Ruled out: a worker that stands still; the same runs ended as run_done 2 s before the warning.

Batch.EndThatWaitsForTheLogIsNoStandstill fails without it.

--- a/batch/watch.c
+++ b/batch/watch.c
@@ -85,8 +85,8 @@
   cb_msec_t still_ms = now_ms - task->percent_ms;
   gboolean urgent = task->job->spec->priority == 0;
 
-  if (task->state != TASK_STARTED || !task->seen || task->stop || spec->daemon ||
-      task->percent == 0 || task->percent >= STALL_LAST_PERCENT ||
+  if (task->state != TASK_STARTED || !task->seen || task->stop || task->proposed_end ||
+      spec->daemon || task->percent == 0 || task->percent >= STALL_LAST_PERCENT ||
       still_ms < STALL_URGENT_MS)
     return;
   if (w->avoid_until_ms < now_ms)
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -86,6 +86,7 @@
   std::vector<std::string> violations;
   uint64_t epoch = 0;
   bool keep_log = false;
+  bool log_away = false; // records of the scheduler wait
   std::vector<std::vector<uint8_t> > log;
 
   BatchSite (int count, int per_rack, std::map<std::string, uint32_t> accounts = {})
@@ -250,6 +251,8 @@
   void
   Drain ()
   {
+    if (log_away)
+      return;
     while (Cb__BatchRecord *record = cb_batch_take_record (active))
       Append (record);
   }
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -199,6 +199,25 @@
   EXPECT_EQ (site.Status ("u"), CB_JOB_COMPLETED);
 }
 
+// Guards against a run that has ended, but whose end waits for the log, being taken as
+// one that stands still: its worker was told to stop it and was avoided (inc-1113,
+// inc-4ef4: run_stalled during outages of the store).
+TEST (Batch, EndThatWaitsForTheLogIsNoStandstill)
+{
+  BatchSite site (1, 1);
+
+  site.SubmitAndRun ("u", 0, { { 1, 8 } }, 1000, 500);
+  site.log_away = true;
+  for (int i = 0; i < 40; i++)
+    {
+      site.Advance (100);
+      EXPECT_EQ (site.workers[0]->absent, std::set<std::string> ());
+    }
+  site.log_away = false;
+  site.Advance (500);
+  EXPECT_EQ (site.Status ("u"), CB_JOB_COMPLETED);
+}
+
 // Guards against work that is stopped again and again because its worker reports no
 // progress (CI: RestartedAgentLeavesTheWorkersTasksAlone never ended).
 TEST (Batch, WorkWithoutReportedProgressEnds)
