Send nothing new while the log is lost, and leave out entries that do not answer

Cause: an entry that had lost the log still sent the records of new requests; a reset attempt leaves the outcome open. The relay chose its peer without regard to the last result.

Ruled out: the store took the record (it was not in the log at its return); a slow peer (the others answered 421 within 7 ms).

Change: the writer is held while reads fail. Records that were never sent are given up after 1.4 s, half of a caller's time, and refused with 503 and Retry-After. A repeated request of a job whose first record may be stored gets 504 instead of 503 at that entry. Peers that could not be reached are left out for 2 s, those without the log for 0.2 s. Two close functions that nothing called are gone.

--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -74,8 +74,11 @@
   cb_msec_t append_ms; /* last record of the scheduler */
   GHashTable *links;   /* agent -> cb_batch_link_t */
 
-  gboolean registered; /* its address is in the log, or on the way */
-  uint32_t relays;     /* requests passed on so far */
+  GHashTable *open_outcomes; /* job that may be stored -> since when, ms */
+  gboolean registered;       /* its address is in the log, or on the way */
+  uint32_t relays;           /* requests passed on so far */
+  GHashTable
+      *shunned; /* address of an entry that cannot serve -> when to ask again, ms */
   uint64_t
       relayed_version; /* newest configuration behind an answer that was passed on */
 
@@ -103,14 +106,12 @@
 
 /* batch_log.c */
 void cb_batch_log_open (cb_batch_entry_t *entry);
-void cb_batch_log_close (cb_batch_entry_t *entry);
 void cb_batch_append (cb_batch_entry_t *entry, Cb__BatchRecord *record,
                       cb_batch_stored_t done, void *ctx);
 gboolean cb_batch_log_fresh (const cb_batch_entry_t *entry, cb_msec_t age_ms);
 
 /* batch_config.c */
 void cb_batch_config_open (cb_batch_entry_t *entry);
-void cb_batch_config_close (cb_batch_entry_t *entry);
 
 /* batch_save.c */
 void cb_batch_save_load (cb_batch_entry_t *entry, void (*done) (cb_batch_entry_t *));
--- a/cmd/batch_config.c
+++ b/cmd/batch_config.c
@@ -110,10 +110,3 @@
 {
   read_on (entry);
 }
-
-void
-cb_batch_config_close (cb_batch_entry_t *entry)
-{
-  cb_timer_free (entry->config_timer);
-  cb_batch_config_unref (entry->config);
-}
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -12,6 +12,9 @@
 #define READY_AGE_MS 3000
 /* When a caller whose request met an outage should come back. */
 #define OUTAGE_RETRY_MS 1000
+/* The outcome of a submission that had no definite answer is open for this long, longer
+   than a caller asks again; the append is repeated until the store answers. */
+#define OPEN_OUTCOME_MS 60000
 
 /* Answers a caller's request with LEN bytes of JSON and counts how long it took. */
 void
@@ -81,6 +84,40 @@
             job->steps[0]->estimate_ms);
 }
 
+static gboolean
+is_old (gpointer key, gpointer value, gpointer data)
+{
+  const cb_msec_t *since_ms = value;
+  const cb_msec_t *now_ms = data;
+
+  (void)key;
+  return *now_ms - *since_ms > OPEN_OUTCOME_MS;
+}
+
+/* Remembers that job ID may be stored although its caller was not told so. */
+static void
+leave_open (cb_batch_entry_t *entry, const char *id)
+{
+  cb_msec_t now_ms = cb_batch_now ();
+  cb_msec_t *since_ms = g_new (cb_msec_t, 1);
+
+  g_hash_table_foreach_remove (entry->open_outcomes, is_old, &now_ms);
+  *since_ms = now_ms;
+  g_hash_table_replace (entry->open_outcomes, g_strdup (id), since_ms);
+}
+
+/* Refuses a submission that is not stored. While an earlier one of the same job may
+   still be, no answer may say that the job does not run. */
+static void
+refuse_job (cb_batch_entry_t *entry, cb_http_req_t *req, const char *id, int status,
+            const char *reason, cb_msec_t retry_after_ms)
+{
+  if (g_hash_table_contains (entry->open_outcomes, id))
+    cb_batch_refuse (entry, req, 504, "earlier_outcome_unknown", 0);
+  else
+    cb_batch_refuse (entry, req, status, reason, retry_after_ms);
+}
+
 static void
 on_stored (cb_batch_entry_t *entry, void *ctx, int err, const Cb__BatchRecord *record)
 {
@@ -97,6 +134,22 @@
     cb_batch_refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
 }
 
+static void
+on_submitted (cb_batch_entry_t *entry, void *ctx, int err,
+              const Cb__BatchRecord *record)
+{
+  const char *id = record->submit->id;
+
+  if (err == CB_OK)
+    g_hash_table_remove (entry->open_outcomes, id);
+  else if (err == CB_LOGC_UNAVAILABLE)
+    leave_open (entry, id);
+  if (err == CB_OK || err == CB_LOGC_UNAVAILABLE)
+    on_stored (entry, ctx, err, record);
+  else
+    refuse_job (entry, ctx, id, 503, "store_unavailable", OUTAGE_RETRY_MS);
+}
+
 static const char *
 admit_reason (int err)
 {
@@ -123,7 +176,7 @@
     }
   if (!cb_batch_log_fresh (entry, LOG_SILENT_MS))
     {
-      cb_batch_refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_MS);
+      refuse_job (entry, req, id, 503, "store_unavailable", OUTAGE_RETRY_MS);
       return;
     }
   if (cb_platform_job_read (body, len, &job) < 0)
@@ -145,14 +198,14 @@
   if (err < 0)
     {
       cb_msg_free (job);
-      cb_batch_refuse (entry, req, err == CB_BATCH_INVALID ? 400 : 429,
-                       admit_reason (err), retry_after_ms);
+      refuse_job (entry, req, id, err == CB_BATCH_INVALID ? 400 : 429,
+                  admit_reason (err), retry_after_ms);
       return;
     }
   record = cb_msg_new (&cb__batch_record__descriptor);
   record->body_case = CB__BATCH_RECORD__BODY_SUBMIT;
   record->submit = job;
-  cb_batch_append (entry, record, on_stored, req);
+  cb_batch_append (entry, record, on_submitted, req);
   cb_batch_pump (entry);
 }
 
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -8,6 +8,9 @@
 #define READ_WAIT_MIN_MS 250
 /* Pause after a failed read. */
 #define RETRY_MS 150
+/* Without the log, a record that was not sent is given up after this long: half of a
+   caller's 3 s, so that it can still come back. */
+#define HELD_MS 1400
 
 typedef struct
 {
@@ -118,6 +121,7 @@
     cb_event_always (CB_LOG_WARN, "entry", "log_lost", "err=%d next=%" PRIu64, err,
                      entry->next);
   entry->healthy = FALSE;
+  cb_writer_hold (entry->writer, HELD_MS);
   if (err == CB_LOGC_EXPIRED)
     {
       cb_event_always (CB_LOG_WARN, "entry", "log_expired",
@@ -150,6 +154,7 @@
                        entry->next);
     }
   entry->healthy = TRUE;
+  cb_writer_hold (entry->writer, 0);
   entry->read_ms = sent_ms;
   entry->known_ms = MIN (sent_ms + wait_ms, cb_batch_now ());
   for (size_t i = 0; i < count; i++)
@@ -221,11 +226,3 @@
                                  entry->identity, 0, CB_GIVE_UP_MS, on_stored, entry);
   read_on (entry);
 }
-
-void
-cb_batch_log_close (cb_batch_entry_t *entry)
-{
-  cb_timer_free (entry->read_timer);
-  cb_writer_free (entry->writer);
-  g_hash_table_unref (entry->appends);
-}
--- a/cmd/batch_relay.c
+++ b/cmd/batch_relay.c
@@ -5,11 +5,18 @@
 /* Without the log for this long in ms, requests go to another entry. A waiting read
    ends within 1.0 s when the store is well. */
 #define STALE_MS 1600
-/* Longest time in ms for another entry's answer; callers wait 3 s. */
+/* Longest time in ms for another entry's answer; callers wait 3 s. A view needs no
+   append, so another entry can be asked soon. */
 #define ANSWER_MS 2500
+#define VIEW_ANSWER_MS 700
 /* Longest time in ms for a connection to another entry: some round trips between
    regions, 20 ms one way. An entry whose instance is gone answers nothing. */
 #define CONNECT_MS 300
+/* An entry that could not be reached, or did not answer, is not asked again for this
+   long in ms; an instance is restarted in seconds. One that has lost the log too reads
+   it every 150 ms. */
+#define UNREACHABLE_MS 2000
+#define MISDIRECTED_MS 200
 /* Other entries that are tried while none can serve. */
 #define TRIES 2
 /* HTTP status of an entry that has lost the log too, or knows an older configuration.
@@ -24,6 +31,7 @@
   cb_http_req_t *req;
   char *headers;
   GString *version; /* of the answer's configuration */
+  char *address;    /* of the entry that is asked */
   uint32_t tries;
 } relay_t;
 
@@ -58,12 +66,24 @@
                    on_registered, NULL);
 }
 
+/* Keeps requests from the entry at ADDRESS for FOR_MS. */
+static void
+shun (cb_batch_entry_t *entry, const char *address, cb_msec_t for_ms)
+{
+  cb_msec_t *until_ms = g_new (cb_msec_t, 1);
+
+  *until_ms = cb_batch_now () + for_ms;
+  g_hash_table_replace (entry->shunned, g_strdup (address), until_ms);
+}
+
 static void
 add_peer (void *ctx, const char *name, const char *address)
 {
   peers_t *peers = ctx;
+  const cb_msec_t *until_ms = g_hash_table_lookup (peers->entry->shunned, address);
 
-  if (strcmp (name, peers->entry->settings->name) != 0)
+  if (strcmp (name, peers->entry->settings->name) != 0 &&
+      (until_ms == NULL || *until_ms <= cb_batch_now ()))
     g_ptr_array_add (peers->addresses, (gpointer)address);
 }
 
@@ -74,7 +94,7 @@
 }
 
 /* Returns another entry's address, a different one each time; freed with g_free; NULL
-   when there is none. */
+   when there is none that may serve. */
 static char *
 next_peer (cb_batch_entry_t *entry)
 {
@@ -93,6 +113,7 @@
 end_relay (relay_t *relay)
 {
   g_free (relay->headers);
+  g_free (relay->address);
   g_string_free (relay->version, TRUE);
   g_free (relay);
 }
@@ -114,21 +135,34 @@
     cb_batch_serve (relay->entry, relay->req);
 }
 
+static gboolean
+is_read (const relay_t *relay)
+{
+  return strcmp (cb_http_method (relay->req), "GET") == 0;
+}
+
 static void
 on_answer (void *ctx, int err, int status, const char *body, size_t len)
 {
   relay_t *relay = ctx;
-  gboolean reads = strcmp (cb_http_method (relay->req), "GET") == 0;
+  gboolean reads = is_read (relay);
+  gboolean not_served =
+      err == CB_NET_CONNECT || status == MISDIRECTED || (err < 0 && reads);
 
   cb_event (CB_LOG_INFO, "entry", "relayed",
-            "method=%s path=%s err=%d status=%d tries=%u", cb_http_method (relay->req),
-            cb_http_path (relay->req), err, status, relay->tries);
-  if ((err == CB_NET_CONNECT || status == MISDIRECTED) && relay->tries < TRIES)
+            "method=%s path=%s to=%s err=%d status=%d tries=%u",
+            cb_http_method (relay->req), cb_http_path (relay->req), relay->address, err,
+            status, relay->tries);
+  if (err < 0)
+    shun (relay->entry, relay->address, UNREACHABLE_MS);
+  else if (status == MISDIRECTED)
+    shun (relay->entry, relay->address, MISDIRECTED_MS);
+  if (not_served && relay->tries < TRIES)
     {
       relay_once (relay);
       return;
     }
-  if (err == CB_NET_CONNECT || status == MISDIRECTED)
+  if (not_served)
     serve_here (relay);
   else if (err == CB_OK)
     {
@@ -137,8 +171,6 @@
                g_ascii_strtoull (relay->version->str, NULL, 10));
       cb_batch_answer (relay->entry, relay->req, status, body, len);
     }
-  else if (reads)
-    cb_batch_refuse (relay->entry, relay->req, 503, "view_stale", RETRY_AFTER_MS);
   else
     cb_batch_refuse (relay->entry, relay->req, 504, "relay_answer_unknown", 0);
   end_relay (relay);
@@ -147,30 +179,30 @@
 static void
 relay_once (relay_t *relay)
 {
-  char *address = next_peer (relay->entry);
   size_t len;
-  cb_http_spec_t spec = { .address = address,
-                          .host = cb_http_host (relay->req),
+  cb_http_spec_t spec = { .host = cb_http_host (relay->req),
                           .method = cb_http_method (relay->req),
                           .path = cb_http_path (relay->req),
                           .headers = relay->headers,
                           .body = cb_http_body (relay->req, &len),
-                          .timeout_ms = ANSWER_MS,
+                          .timeout_ms = is_read (relay) ? VIEW_ANSWER_MS : ANSWER_MS,
                           .connect_ms = CONNECT_MS,
                           .want_header = cb_platform_config_header,
                           .header_value = relay->version,
                           .keep_alive = TRUE };
 
-  if (address == NULL)
+  g_free (relay->address);
+  relay->address = next_peer (relay->entry);
+  if (relay->address == NULL)
     {
       serve_here (relay);
       end_relay (relay);
       return;
     }
+  spec.address = relay->address;
   spec.body_len = len;
   relay->tries++;
   cb_http_call (relay->entry->loop, &spec, on_answer, relay);
-  g_free (address);
 }
 
 static gboolean
--- a/logc/fns.h
+++ b/logc/fns.h
@@ -35,6 +35,7 @@
 void cb_writer_free (cb_writer_t *writer);
 void cb_writer_add (cb_writer_t *writer, Cb__Record *record, uint64_t tag,
                     cb_msec_t now_ms);
+void cb_writer_hold (cb_writer_t *writer, cb_msec_t give_up_ms);
 void cb_writer_tick (cb_writer_t *writer, cb_msec_t now_ms);
 uint32_t cb_writer_pending (const cb_writer_t *writer);
 uint64_t cb_writer_appends (const cb_writer_t *writer);
--- a/logc/writer.c
+++ b/logc/writer.c
@@ -29,6 +29,7 @@
   char *producer;
   cb_msec_t batch_ms;
   cb_msec_t give_up_ms;
+  cb_msec_t held_ms; /* 0: not held */
   cb_writer_done_t done;
   void *ctx;
   uint64_t sequence;
@@ -118,6 +119,15 @@
   g_queue_push_tail (&writer->waiting, item);
 }
 
+/* While GIVE_UP_MS is above 0 no record is sent for the first time, as the log is known
+   not to answer: an attempt could only leave its outcome open. Records that were never
+   sent are then given up so long after they were added. 0 ends it. */
+void
+cb_writer_hold (cb_writer_t *writer, cb_msec_t give_up_ms)
+{
+  writer->held_ms = give_up_ms;
+}
+
 static void
 end_batch (cb_writer_t *writer)
 {
@@ -213,6 +223,8 @@
 static void
 give_up (cb_writer_t *writer)
 {
+  cb_msec_t unsent_ms = writer->held_ms > 0 ? MIN (writer->held_ms, writer->give_up_ms)
+                                            : writer->give_up_ms;
   item_t *item;
 
   for (GList *l = writer->sent.head; l != NULL; l = l->next)
@@ -225,7 +237,7 @@
     {
       gboolean large = item->bytes > MAX_BATCH_BYTES;
 
-      if (!large && writer->now_ms - item->added_ms < writer->give_up_ms)
+      if (!large && writer->now_ms - item->added_ms < unsent_ms)
         return;
       g_queue_pop_head (&writer->waiting);
       report (writer, item, large ? CB_LOGC_REFUSED : CB_LOGC_GIVEN_UP, 0);
@@ -250,7 +262,8 @@
       return;
     }
   oldest = g_queue_peek_head (&writer->waiting);
-  if (oldest == NULL || now_ms - oldest->added_ms < writer->batch_ms)
+  if (writer->held_ms > 0 || oldest == NULL ||
+      now_ms - oldest->added_ms < writer->batch_ms)
     return;
   make_batch (writer);
   send_batch (writer);
--- a/test/logc_test.cc
+++ b/test/logc_test.cc
@@ -145,6 +145,33 @@
   EXPECT_EQ (0u, cb_writer_pending (writer));
 }
 
+// Guards against an attempt that can only leave the outcome open: a held writer repeats
+// what may be stored, and drops what it never sent in the shorter time.
+TEST_F (Writer, HeldWriterSendsNothingNew)
+{
+  cb_logc_memory_fail (log, TRUE, 0);
+  Add (1, 0);
+  Step (20);
+  cb_writer_hold (writer, 300);
+  Add (2, 30);
+  for (cb_msec_t t = 40; t <= 340; t += 20)
+    Step (t);
+  EXPECT_EQ (CB_LOGC_GIVEN_UP, results.at (2));
+  EXPECT_EQ (0u, results.count (1));
+  cb_logc_memory_fail (log, FALSE, 0);
+  Add (3, 500);
+  for (cb_msec_t t = 500; t <= 720; t += 20)
+    Step (t);
+  ASSERT_EQ (1u, results.count (1));
+  EXPECT_EQ (0, results.at (1));
+  EXPECT_EQ (0u, results.count (3));
+  cb_writer_hold (writer, 0);
+  Step (740);
+  Step (741);
+  ASSERT_EQ (1u, results.count (3));
+  EXPECT_EQ (0, results.at (3));
+}
+
 TEST_F (Writer, StalledLogHasOneBatchInFlight)
 {
   cb_logc_memory_hold (log, FALSE, TRUE);
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -177,6 +177,85 @@
   EXPECT_EQ (site.State (0, 1, 0), "unknown");
 }
 
+// Guards against an unknown outcome for a request that came after the store had stopped
+// to answer (inc-1113: 504 after 2.9 s, and the caller may not hand the job in again):
+// its record is not sent before the log is read again, so the refusal is definite.
+TEST (PlatformSite, RequestInAnOutageIsRefusedAsNotRun)
+{
+  PlatformSite site (2, 1);
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.store, "{\"mode\":\"silent\"}");
+  site.Pause (2500);
+  cb_msec_t sent = cb_clock_now (cb_clock_system ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 503);
+  EXPECT_LE (cb_clock_now (cb_clock_system ()) - sent, 2000);
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status == 200; }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 0);
+  EXPECT_EQ (site.State (0, 1, 0), "unknown");
+}
+
+// Guards against a refusal of a job whose earlier submission is stored after all.
+TEST (PlatformSite, RepeatedRequestIsNotRefusedWhileTheFirstMayBeStored)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.store, "{\"mode\":\"silent\"}");
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 504);
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 504);
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status, 503);
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  site.CheckRuns ();
+}
+
+// A request that waits for the store is served when the store returns in time.
+TEST (PlatformSite, RequestWaitsOutTheEndOfAnOutage)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.store, "{\"mode\":\"busy\"}");
+  site.Pause (500);
+  site::Reply reply;
+  site.Send (&reply, site.callers[0], "POST", site.Path (1, 0),
+             site.Job (1, 1, "run 50"), 3000);
+  site.Pause (700);
+  EXPECT_FALSE (reply.done);
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  ASSERT_TRUE (site.Until ([&] { return reply.done; }));
+  EXPECT_EQ (reply.status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+}
+
+// Guards against each request of an entry without the log waiting for another entry
+// that does not answer (inc-4ef4: 0.3 s each time, 2.5 s when the other is paused).
+TEST (PlatformSite, EntryThatDoesNotAnswerIsNotAskedEachTime)
+{
+  PlatformSite site (2, 1, true);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (1, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  site.Signal ("link-entry0", SIGSTOP);
+  site.Signal ("entry1", SIGSTOP);
+  site.Pause (2500);
+  site.State (0, 1, 0);
+  for (int i = 0; i < 4; i++)
+    {
+      cb_msec_t sent = cb_clock_now (cb_clock_system ());
+      EXPECT_EQ (site.State (0, 1, 0), "completed");
+      EXPECT_LE (cb_clock_now (cb_clock_system ()) - sent, 250) << i;
+    }
+  site.Signal ("entry1", SIGCONT);
+  site.Signal ("link-entry0", SIGCONT);
+}
+
 // Guards against takeovers and refusals while the store answers slowly (150 times its
 // usual time, one append at a time): the scheduler's beats come late but it is not
 // silent, and calls that would succeed are not given up.
