Ask the advisor which workers may run a step of an advised queue

Cause: the tickets were carried from the scheduler to the worker, but nothing asked for them and placement did not know which workers are allowed.

Change: batch/advice.c keeps what the advisor said of a step and prepares the next question, placement and reclaim use allowed workers only, starts carry the ticket, platform/advisor.c makes the call. Repeated questions about work that waits are asked only where there is room: they kept the advisor busy 0.3 s each while urgent work waited.

Ruled out: asking through other instances at once, which would take an order for agents; listed as not built.

Tests: batch_advice_test (9), PlatformSite.StepOfAnAdvised... with a stand-in for the advisor, platform_test.

--- a/batch/dat.h
+++ b/batch/dat.h
@@ -41,7 +41,11 @@
   uint32_t attempts; /* failed runs of a task before the job fails */
   uint32_t slack_ms; /* objective: stretch x longest chain of work + slack */
   double stretch;
-  gboolean open; /* callers need no key */
+  gboolean open;            /* callers need no key */
+  gboolean advised;         /* only workers that the advisor allows may run its steps */
+  cb_msec_t decide_ms;      /* that the advisor takes for a question, and more for */
+  cb_msec_t decide_each_ms; /* each worker in it */
+  cb_msec_t validity_ms;    /* of a ticket */
 } cb_batch_queue_t;
 
 typedef struct
@@ -59,6 +63,7 @@
   GPtrArray *accounts;        /* of cb_batch_account_t */
   GHashTable *account_of_key; /* key -> cb_batch_account_t, not owned */
   uint32_t max_body_bytes;    /* 0: no limit */
+  gboolean advised;           /* a queue of it is */
 } cb_batch_config_t;
 
 /* Times in ms of the deployment that the decisions depend on. */
@@ -72,6 +77,31 @@
   cb_counters_t *counters; /* takes the scheduler's histograms; NULL: none */
 } cb_batch_params_t;
 
+/* A worker that the advisor is asked about. */
+typedef struct
+{
+  char *worker;
+  uint64_t born_ms;
+} cb_batch_asked_t;
+
+/* A question to the advisor: which workers may run a step. */
+typedef struct
+{
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  GPtrArray *asked;      /* of cb_batch_asked_t */
+  cb_msec_t takes_ms;    /* the advisor's time for it */
+  cb_msec_t validity_ms; /* of the tickets */
+} cb_batch_question_t;
+
+/* A start of the step on this worker carries the ticket. */
+typedef struct
+{
+  const char *worker;
+  const char *ticket;
+} cb_batch_permit_t;
+
 /* Sums for metrics. */
 typedef struct
 {
--- a/batch/fns.h
+++ b/batch/fns.h
@@ -50,6 +50,13 @@
 int cb_batch_admit (const cb_batch_t *batch, const Cb__BatchJob *job,
                     cb_msec_t *retry_after_ms);
 
+/* advice.c */
+cb_batch_question_t *cb_batch_take_question (cb_batch_t *batch);
+void cb_batch_question_free (cb_batch_question_t *question);
+void cb_batch_permit (cb_batch_t *batch, const cb_batch_question_t *question,
+                      const cb_batch_permit_t *allowed, size_t count,
+                      cb_msec_t asked_ms);
+
 /* lead.c: what only the scheduler does, with report.c and orders.c. */
 void cb_batch_lead (cb_batch_t *batch, uint64_t epoch, cb_msec_t now_ms);
 void cb_batch_report (cb_batch_t *batch, const char *agent,
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -24,6 +24,7 @@
       {
         step_state_t *step = &job->occurrences[k].steps[i];
 
+        advice_forget (step);
         for (uint32_t t = 0; t < step->count; t++)
           reset_task (&step->tasks[t]);
       }
@@ -41,6 +42,7 @@
   b->lead_ms = now_ms;
   b->dirty = TRUE;
   g_queue_clear_full (&b->records, cb_msg_free);
+  cb_batch_question_free (cb_batch_take_question (b));
   for (GList *l = b->open.head; l != NULL; l = l->next)
     reset_job (l->data);
   g_hash_table_iter_init (&iter, b->workers);
--- a/batch/local.h
+++ b/batch/local.h
@@ -55,6 +55,8 @@
   uint32_t gang_failures;
   uint32_t gang_failed_run;
   uint32_t waves; /* rounds that its tasks take in its share of the fleet; 0: unknown */
+  gboolean advised;    /* runs only where the advisor allows it */
+  GHashTable *permits; /* worker -> permit_t of advice.c; NULL: nothing asked */
 } step_state_t;
 
 typedef struct
@@ -158,6 +160,7 @@
   double urgent_peak;  /* accelerators in use or wanted by urgent work, decayed */
   cb_msec_t urgent_ms; /* when it was updated */
   gboolean dirty;      /* something changed that placement depends on */
+  cb_batch_question_t *question; /* to the advisor; NULL: none */
   cb_msec_t placed_ms;
 };
 
@@ -207,6 +210,7 @@
 double rooms_use (const GPtrArray *rooms);
 void room_take (room_t *room, const Cb__BatchStep *step);
 void room_give (room_t *room, const Cb__BatchStep *step);
+gboolean room_suits (const worker_t *w, const task_t *task);
 gboolean room_allows (const room_t *room, const task_t *task, uint32_t more);
 gboolean fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
                     gboolean use_kept, room_t **chosen);
@@ -220,6 +224,15 @@
 void await_places (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
                    cb_msec_t now_ms);
 
+/* advice.c */
+void advice_forget (step_state_t *step);
+const char *advice_ticket (const task_t *task, const worker_t *w);
+gboolean advice_allows (const task_t *task, const worker_t *w);
+void advice_refresh (const cb_batch_t *b, const job_t *job, step_state_t *step,
+                     cb_msec_t now_ms);
+gboolean advice_open (GPtrArray *rooms, const task_t *task);
+void advice_want (cb_batch_t *b, GPtrArray *rooms, const task_t *task, gboolean full);
+
 /* place.c */
 void place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms);
 
--- a/batch/orders.c
+++ b/batch/orders.c
@@ -41,6 +41,8 @@
   cb_msg_set_string (&start->spec, task->job->spec->spec);
   if (task->saved != NULL)
     cb_msg_set_string (&start->saved, task->saved);
+  if (advice_ticket (task, task->worker) != NULL)
+    cb_msg_set_string (&start->ticket, advice_ticket (task, task->worker));
   cb_msg_append ((void ***)&orders->starts, &orders->n_starts, start);
 }
 
--- a/batch/place.c
+++ b/batch/place.c
@@ -258,6 +258,15 @@
   return TRUE;
 }
 
+static gboolean
+waits (task_t **tasks, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (!tasks[i]->proposed_start)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 place_step (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, cb_msec_t now_ms)
 {
@@ -268,6 +277,7 @@
   task_t **tasks = waiting_tasks (step, now_ms, &count);
   uint32_t wave = (step->count + MAX (1, step->waves) - 1) / MAX (1, step->waves);
 
+  advice_refresh (b, demand->job, step, now_ms);
   if (spec->gang && count > 0 && count == step->count)
     place_gang (b, rooms, demand, tasks, count, now_ms);
   for (uint32_t i = 0; i < count && !spec->gang; i++)
@@ -280,6 +290,8 @@
           (demand->idle && !demand->at_risk && demand->job->spec->priority > 0))
         break;
     }
+  if (step->advised && count > 0 && waits (tasks, count))
+    advice_want (b, rooms, tasks[0], may_preempt (demand, now_ms));
   g_free (tasks);
 }
 
@@ -291,6 +303,7 @@
   GPtrArray *rooms = rooms_new (b, now_ms);
   GArray *demands = list_demands (b, rooms, now_ms, wall_ms);
 
+  cb_batch_question_free (cb_batch_take_question (b));
   rooms_keep (rooms);
   for (guint i = 0; rooms->len > 0 && i < demands->len; i++)
     place_step (b, rooms, &g_array_index (demands, demand_t, i), now_ms);
--- a/batch/room.c
+++ b/batch/room.c
@@ -181,6 +181,17 @@
   return count;
 }
 
+/* TRUE when W is of the service and kind that TASK needs. */
+gboolean
+room_suits (const worker_t *w, const task_t *task)
+{
+  const Cb__BatchStep *step = task_spec (task);
+
+  return strcmp (w->service, task->job->spec->service) == 0 &&
+         (step->label[0] == '\0' ||
+          g_strv_contains ((const char *const *)w->labels, step->label));
+}
+
 /* TRUE when the worker may run TASK, whatever its free room, after MORE tasks of the
    same step that are chosen for it. */
 gboolean
@@ -189,10 +200,7 @@
   const Cb__BatchStep *step = task_spec (task);
   const worker_t *w = room->worker;
 
-  if (strcmp (w->service, task->job->spec->service) != 0)
-    return FALSE;
-  if (step->label[0] != '\0' &&
-      !g_strv_contains ((const char *const *)w->labels, step->label))
+  if (!room_suits (w, task) || !advice_allows (task, w))
     return FALSE;
   return step->per_worker_max == 0 ||
          tasks_of_step (w, task) + more < step->per_worker_max;
@@ -290,10 +298,11 @@
   return holds;
 }
 
-/* Returns how many of COUNT tasks of STEP the workers of RACK (NULL: all) would hold if
-   they were empty. */
+/* Returns how many tasks of STEP the workers of RACK (NULL: all) would hold if they
+   were empty; with TASK, one of the step, only those that the advisor allows. */
 static uint64_t
-rooms_hold (const GPtrArray *rooms, const char *rack, const Cb__BatchStep *step)
+rooms_hold (const GPtrArray *rooms, const char *rack, const Cb__BatchStep *step,
+            const task_t *task)
 {
   uint64_t holds = 0;
 
@@ -301,7 +310,8 @@
     {
       const worker_t *w = ((room_t *)rooms->pdata[i])->worker;
 
-      if (rack == NULL || strcmp (w->rack, rack) == 0)
+      if ((rack == NULL || strcmp (w->rack, rack) == 0) &&
+          (task == NULL || advice_allows (task, w)))
         holds += worker_holds (w, step, step->count);
     }
   return holds;
@@ -312,7 +322,7 @@
 uint32_t
 room_waves (const GPtrArray *rooms, const Cb__BatchStep *step)
 {
-  double share = (double)rooms_hold (rooms, NULL, step) / STEP_SHARE;
+  double share = (double)rooms_hold (rooms, NULL, step, NULL) / STEP_SHARE;
 
   if (share < 1)
     share = 1;
@@ -339,10 +349,10 @@
 
       if (!g_hash_table_add (tried, (gpointer)rack))
         continue;
-      possible = possible || rooms_hold (rooms, rack, step) >= count;
+      possible = possible || rooms_hold (rooms, rack, step, tasks[0]) >= count;
       found = fit_group (rooms, tasks, count, rack, use_kept, chosen);
     }
   g_hash_table_unref (tried);
-  return found ||
-         (!possible && fit_group (rooms, tasks, count, NULL, use_kept, chosen));
+  return found || (!possible && !advice_open (rooms, tasks[0]) &&
+                   fit_group (rooms, tasks, count, NULL, use_kept, chosen));
 }
--- a/batch/state.c
+++ b/batch/state.c
@@ -19,6 +19,7 @@
               g_free (step->tasks[t].live_saved);
             }
           g_free (step->tasks);
+          advice_forget (step);
         }
       g_free (job->occurrences[k].steps);
     }
@@ -78,6 +79,7 @@
     return;
   g_queue_clear_full (&b->records, cb_msg_free);
   g_queue_clear (&b->open);
+  cb_batch_question_free (b->question);
   g_hash_table_unref (b->jobs);
   g_hash_table_unref (b->workers);
   g_hash_table_unref (b->agents);
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -75,6 +75,8 @@
   GHashTable *links;   /* agent -> cb_batch_link_t */
 
   GHashTable *open_outcomes; /* job that may be stored -> since when, ms */
+  gboolean asking;           /* a question to the advisor is under way */
+  cb_msec_t ask_after_ms;    /* the next one not before */
   gboolean registered;       /* its address is in the log, or on the way */
   uint32_t relays;           /* requests passed on so far */
   GHashTable
@@ -124,6 +126,9 @@
 void cb_batch_lead_resign (cb_batch_entry_t *entry);
 void cb_batch_lead_close (cb_batch_entry_t *entry);
 
+/* batch_advice.c */
+void cb_batch_advice_tick (cb_batch_entry_t *entry, cb_msec_t now_ms);
+
 /* batch_relay.c */
 void cb_batch_relay_register (cb_batch_entry_t *entry);
 gboolean cb_batch_relay (cb_batch_entry_t *entry, cb_http_req_t *req);
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -271,6 +271,7 @@
     }
   if (entry->term_ms == 0)
     cb_batch_tick (entry->batch, now_ms, cb_clock_wall (entry->clock));
+  cb_batch_advice_tick (entry, now_ms);
   while ((record = cb_batch_take_record (entry->batch)) != NULL)
     {
       entry->append_ms = now_ms;
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -51,6 +51,7 @@
   const char *service;
   const char *rack;
   int accelerators;
+  gboolean tickets; /* starts need one */
   cb_msec_t born_ms;
   uint64_t fence;
   uint64_t sequence;
@@ -141,6 +142,20 @@
   cb_fake_reply (req, 200, json_pack ("{s:I}", "clockMs", (json_int_t)now ()));
 }
 
+/* A ticket is STEP@WORKER, as carobrun-fake-advisor gives it. */
+static gboolean
+has_ticket (const runner_t *r, const char *task, const json_t *body)
+{
+  const char *ticket = json_string_value (json_object_get (body, "ticket"));
+  char *step = g_strndup (task, (gsize)(strrchr (task, '.') - task));
+  char *wanted = g_strdup_printf ("%s@%s", step, r->id);
+  gboolean match = !r->tickets || g_strcmp0 (ticket, wanted) == 0;
+
+  g_free (step);
+  g_free (wanted);
+  return match;
+}
+
 static void
 on_start (runner_t *r, cb_http_req_t *req, const json_t *body)
 {
@@ -156,6 +171,8 @@
     refuse (req, "old");
   else if (number (body, "deadlineMs") <= now ())
     refuse (req, "late");
+  else if (!has_ticket (r, task, body))
+    refuse (req, "ticket");
   else
     {
       run = g_new0 (run_t, 1);
@@ -375,6 +392,9 @@
     case 'r':
       a->runner->rack = arg;
       return 0;
+    case 'k':
+      a->runner->tickets = TRUE;
+      return 0;
     case 't':
       a->params.trace_file = arg;
       return 0;
@@ -396,6 +416,7 @@
     { "agent", 'a', "ADDRESS", 0, "control address of the agent", 0 },
     { "id", 'i', "NAME", 0, "of the worker", 0 },
     { "rack", 'r', "NAME", 0, "default r1", 0 },
+    { "tickets", 'k', NULL, 0, "starts need a ticket of the advisor", 0 },
     { "trace", 't', "FILE", 0, "event trace", 0 },
     { 0 },
   };
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -3178,7 +3178,7 @@
   (ProtobufCMessageInit) cb__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__platform_settings__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cb__platform_settings__field_descriptors[20] =
 {
   {
     "name",
@@ -3408,8 +3408,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "advisor_address",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cb__PlatformSettings, advisor_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__platform_settings__field_indices_by_name[] = {
+  19,   /* field[19] = advisor_address */
   1,   /* field[1] = availability_zone */
   3,   /* field[3] = caller_address */
   5,   /* field[5] = control_address */
@@ -3433,7 +3446,7 @@
 static const ProtobufCIntRange cb__platform_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cb__platform_settings__descriptor =
 {
@@ -3443,7 +3456,7 @@
   "Cb__PlatformSettings",
   "cb",
   sizeof(Cb__PlatformSettings),
-  19,
+  20,
   cb__platform_settings__field_descriptors,
   cb__platform_settings__field_indices_by_name,
   1,  cb__platform_settings__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -587,6 +587,10 @@
    * retention of the store
    */
   double keep_s;
+  /*
+   * entries: says which workers may run a step
+   */
+  char *advisor_address;
   /*
    * budget of log lines; 0: 200
    */
@@ -594,7 +598,7 @@
 };
 #define CB__PLATFORM_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__platform_settings__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /* Cb__BatchStep methods */
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -86,7 +86,11 @@
   std::vector<std::string> violations;
   uint64_t epoch = 0;
   bool keep_log = false;
-  bool log_away = false; // records of the scheduler wait
+  bool log_away = false;         // records of the scheduler wait
+  std::set<std::string> allowed; // workers that the advisor allows
+  cb_msec_t ticket_ms = 0;       // validity; 0: workers ask for no ticket
+  int questions = 0;
+  int refused_tickets = 0;
   std::vector<std::vector<uint8_t> > log;
 
   BatchSite (int count, int per_rack, std::map<std::string, uint32_t> accounts = {})
@@ -107,6 +111,7 @@
   }
   ~BatchSite ()
   {
+    cb_batch_question_free (question_);
     cb_batch_free (lead);
     cb_batch_free (follower);
     cb_batch_config_unref (config);
@@ -230,6 +235,7 @@
             Report (*w);
         cb_batch_tick (active, now, now);
         Drain ();
+        Advise ();
         for (auto &w : workers)
           if (w->reached && w->up &&
               cb_batch_orders_changed (active, w->agent.c_str ()))
@@ -309,6 +315,22 @@
     Drain ();
     Obey (w);
   }
+  // Makes the queue of PRIORITY ask the advisor, whose tickets are good for
+  // VALIDITY_MS.
+  void
+  Advised (uint32_t priority, std::set<std::string> workers, cb_msec_t validity_ms)
+  {
+    cb_batch_queue_t *queue =
+        cb_batch_config_add_queue (config, ("q" + std::to_string (priority)).c_str ());
+
+    queue->advised = TRUE;
+    queue->decide_ms = 30;
+    queue->decide_each_ms = 2;
+    queue->validity_ms = validity_ms;
+    config->advised = TRUE;
+    allowed = std::move (workers);
+    ticket_ms = validity_ms;
+  }
   // The scheduler gets the worker's latest report once more.
   void
   RepeatReport (Worker &w)
@@ -343,6 +365,53 @@
 
 private:
   cb_batch_t *active = nullptr;
+  cb_batch_question_t *question_ = nullptr;
+  cb_msec_t asked_ms_ = 0;
+
+  // One question at a time, each takes its time.
+  void
+  Advise ()
+  {
+    if (question_ == nullptr)
+      {
+        question_ = cb_batch_take_question (active);
+        asked_ms_ = now;
+        questions += question_ != nullptr;
+      }
+    if (question_ == nullptr || now < asked_ms_ + question_->takes_ms)
+      return;
+    std::vector<std::string> tickets;
+    std::vector<cb_batch_permit_t> permits;
+    for (guint i = 0; i < question_->asked->len; i++)
+      {
+        auto *asked = static_cast<cb_batch_asked_t *> (question_->asked->pdata[i]);
+        if (allowed.count (asked->worker))
+          tickets.push_back (Ticket (asked->worker, asked->born_ms, now));
+        else
+          tickets.push_back ("");
+      }
+    for (guint i = 0; i < question_->asked->len; i++)
+      if (!tickets[i].empty ())
+        permits.push_back (
+            { static_cast<cb_batch_asked_t *> (question_->asked->pdata[i])->worker,
+              tickets[i].c_str () });
+    cb_batch_permit (active, question_, permits.data (), permits.size (), asked_ms_);
+    cb_batch_question_free (question_);
+    question_ = nullptr;
+  }
+  static std::string
+  Ticket (const std::string &worker, uint64_t born_ms, cb_msec_t at_ms)
+  {
+    return worker + "/" + std::to_string (born_ms) + "/" + std::to_string (at_ms);
+  }
+  bool
+  TicketIsGood (const Worker &w, const std::string &ticket) const
+  {
+    std::string life = w.id + "/" + std::to_string (w.born_ms) + "/";
+
+    return ticket.rfind (life, 0) == 0 &&
+           now <= std::stoll (ticket.substr (life.size ())) + ticket_ms;
+  }
   std::map<std::string, std::shared_ptr<Cb__WorkerReport> > last_report;
 
   static Cb__TaskRun *
@@ -453,6 +522,12 @@
 
     if (w.running.count (task))
       return;
+    if (ticket_ms > 0 && !TicketIsGood (w, start->ticket))
+      {
+        refused_tickets++;
+        w.rejected.insert (task + "/" + std::to_string (start->run->run));
+        return;
+      }
     if (w.rejects || (w.highest.count (task) && start->run->run <= w.highest[task]))
       {
         w.rejected.insert (task + "/" + std::to_string (start->run->run));
--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -23,12 +23,19 @@
   std::vector<std::string> runners;   // addresses of workers
   std::vector<std::string> store_via; // what each entry calls the store
   std::string store = FreeAddress ();
+  std::string advisor = FreeAddress ();
 
   // With LINKS, each entry and agent reaches the store through a relay of its own.
   // Entries write a snapshot each quarter of KEEP_S.
-  PlatformSite (int n_entries, int n_workers, bool links = false, int keep_s = 300)
-      : entries (n_entries), workers (n_workers), keep_s_ (keep_s)
+  // With ALLOWED, an advisor lets only this worker run what is in queue 1, and the
+  // workers check its tickets.
+  PlatformSite (int n_entries, int n_workers, bool links = false, int keep_s = 300,
+                const std::string &allowed = "")
+      : entries (n_entries), workers (n_workers), keep_s_ (keep_s), advised_ (allowed)
   {
+    if (!advised_.empty ())
+      Start ("advisor", "carobrun-fake-advisor",
+             { "--listen", advisor, "--allow", allowed });
     Start ("store", "carobrun-fake-store", { "--listen", store });
     for (int i = 0; i < entries; i++)
       {
@@ -64,6 +71,9 @@
                        metrics[i] + "'\nstore_address: '" + via +
                        "'\nhold_max_ms: 4000\ngrace_s: 6\nstop_ms: 400\n"
                        "reclaim_ms: 2900\nstatus_s: 120\nremote_slowdown: 3\n"
+                       "advisor_address: '" +
+                       advisor +
+                       "'\n"
                        "keep_s: " +
                        std::to_string (keep_s_) + "\n");
     Start (name, "carobrun", { "batch-entry", "--settings", Settings (name) });
@@ -80,10 +90,14 @@
   {
     std::string name = "runner" + std::to_string (i);
 
-    Start (name, "carobrun-fake-runner",
-           { "--listen", runners[i], "--agent", controls[i], "--id",
-             "w" + std::to_string (i), "--rack", "r" + std::to_string (i / 3),
-             "--trace", dir_ + "/" + name + ".trace" });
+    std::vector<std::string> arguments = { "--listen", runners[i],
+                                           "--agent",  controls[i],
+                                           "--id",     "w" + std::to_string (i),
+                                           "--rack",   "r" + std::to_string (i / 3),
+                                           "--trace",  dir_ + "/" + name + ".trace" };
+    if (!advised_.empty ())
+      arguments.push_back ("--tickets");
+    Start (name, "carobrun-fake-runner", arguments);
   }
   // Writes a configuration with one queue of each of three priorities, and one of
   // EXTRA.
@@ -92,11 +106,16 @@
   {
     std::string text = "{\"version\":" + std::to_string (version) + ",\"routes\":[";
     for (int p = 0; p < 3; p++)
-      text += std::string (p > 0 ? "," : "") + "{\"name\":\"q" + std::to_string (p) +
-              "\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/q" + std::to_string (p) +
-              "/\",\"priority\":" + std::to_string (p) +
-              ",\"service\":\"svc\",\"attempts\":3,\"stretch\":3,\"sloMs\":3000,"
-              "\"timeoutMs\":3000,\"public\":true}";
+      text +=
+          std::string (p > 0 ? "," : "") + "{\"name\":\"q" + std::to_string (p) +
+          "\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/q" + std::to_string (p) +
+          "/\",\"priority\":" + std::to_string (p) +
+          ",\"service\":\"svc\",\"attempts\":3,\"stretch\":3,\"sloMs\":3000,"
+          "\"timeoutMs\":3000,\"public\":true" +
+          (advised_.empty () || p != 1
+               ? ""
+               : ",\"advisor\":{\"decideMs\":20,\"eachMs\":2,\"validityMs\":3000}") +
+          "}";
     if (!extra.empty ())
       text += ",{\"name\":\"x\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"" + extra +
               "\",\"service\":\"svc\",\"public\":true}";
@@ -284,6 +303,7 @@
 
 private:
   int keep_s_;
+  std::string advised_; // worker, empty: no advisor
 
   std::string
   Settings (const std::string &name) const
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -382,6 +382,26 @@
       [&] { return site.Call (site.callers[0], "GET", added).status == 200; }));
 }
 
+// Guards against starts without the advisor's ticket, which workers reject, and against
+// work that stands still after the advisor was busy.
+TEST (PlatformSite, StepOfAnAdvisedQueueRunsWhereItIsAllowed)
+{
+  PlatformSite site (1, 3, false, 300, "w2");
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.advisor, "{\"mode\":\"busy\",\"count\":2}");
+  EXPECT_EQ (site.Submit (0, 1, 1, site.Job (2, 4, "run 300")).status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 2);
+  std::ifstream trace (site.Dir () + "/runner2.trace");
+  std::string text ((std::istreambuf_iterator<char> (trace)),
+                    std::istreambuf_iterator<char> ());
+  EXPECT_EQ (site.Count (text, "\"run_start\""), 2);
+  EXPECT_EQ (site.Count (site.Call (site.metrics[0], "GET", "/metrics").body,
+                         "advice_calls_total{result=\"answered\"} 1\n"),
+             1);
+}
+
 // A planned stop answers what it has taken and hands the scheduler's role over.
 TEST (PlatformSite, StoppedEntryEndsInTimeAndHandsOver)
 {
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -34,7 +34,9 @@
       "\",\"priority\":2,\"sloMs\":3000,\"service\":\"s\",\"attempts\":4,\"stretch\":"
       "1.5,\"timeoutMs\":900,\"public\":false},{\"name\":\"b\",\"host\":\"h.example\","
       "\"pathPrefix\":\"/x/y/"
-      "\",\"service\":\"s\",\"public\":true}],\"tenants\":[{\"name\":"
+      "\",\"service\":\"s\",\"public\":true,\"advisor\":"
+      "{\"decideMs\":300,\"eachMs\":2,\"validityMs\":3000}}],"
+      "\"tenants\":[{\"name\":"
       "\"t\",\"apiKeys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":16}}],\"limits\":"
       "{\"maxBodyBytes\":4096}}";
   cb_batch_config_t *config = nullptr;
@@ -51,6 +53,13 @@
   EXPECT_EQ (queue->attempts, 4u);
   EXPECT_DOUBLE_EQ (queue->stretch, 1.5);
   EXPECT_FALSE (queue->open);
+  EXPECT_FALSE (queue->advised);
+  queue = cb_batch_config_find (config, "h.example", "/x/y/1");
+  EXPECT_TRUE (queue->advised);
+  EXPECT_TRUE (config->advised);
+  EXPECT_EQ (queue->decide_ms, 300);
+  EXPECT_EQ (queue->decide_each_ms, 2);
+  EXPECT_EQ (queue->validity_ms, 3000);
   EXPECT_STREQ (cb_batch_config_find (config, "h.example", "/x/y/1")->name, "b");
   EXPECT_EQ (cb_batch_config_find (config, "other", "/x/1"), nullptr);
   EXPECT_EQ (cb_batch_config_find (config, "h.example", "/z"), nullptr);
