Slow tasks that fill down where tasks that serve are over their target

Causes: response times in the workers' lists were not read and nothing paced the tasks that fill; they were placed like others, on the fullest worker. Lasting tasks never gave way to a guarantee.

Tasks that fill and tasks that serve are kept apart where they can be. Ended lasting tasks start before work that waits, and give way to a guarantee unless their step has maxUnavailable.

Ruled out: keeping the two kinds apart at any price, which leaves work waiting on a fleet where every worker serves.

--- a/batch/local.h
+++ b/batch/local.h
@@ -33,6 +33,7 @@
   cb_msec_t stop_ms; /* since when */
   char *live_saved;  /* newest checkpoint that a report showed, NULL: none */
   uint32_t percent;
+  uint32_t latency_ms;     /* tail of its response times, for a task with a target */
   cb_msec_t percent_ms;    /* when it last changed */
   const worker_t *planned; /* is being emptied for the task; only to be compared */
   cb_msec_t planned_ms;
@@ -107,6 +108,9 @@
   uint64_t last_seen;
   GPtrArray *strays; /* of Cb__TaskRun: runs that it must stop */
   gboolean orders_changed;
+  uint32_t fill_percent;   /* of their work that tasks that fill may do here */
+  cb_msec_t paced_ms;      /* when it last changed */
+  cb_msec_t calm_since_ms; /* response times have been well below their targets */
   uint32_t failures_in_row;
   cb_msec_t avoid_until_ms; /* it failed or stalled work lately */
   double slowness; /* measured run time against expected, smoothed; 1: as expected */
@@ -120,7 +124,8 @@
   int64_t cpu_milli;
   int64_t memory_mb;
   int64_t accelerators;
-  uint32_t kept; /* from work of this priority and higher numbers; 0: from none */
+  int64_t fill_milli; /* cpu that tasks that fill would use */
+  uint32_t kept;      /* from work of this priority and higher numbers; 0: from none */
 } room_t;
 
 typedef struct
@@ -233,6 +238,10 @@
 gboolean advice_open (GPtrArray *rooms, const task_t *task);
 void advice_want (cb_batch_t *b, GPtrArray *rooms, const task_t *task, gboolean full);
 
+/* pace.c */
+void pace_worker (worker_t *w, cb_msec_t now_ms);
+void pace_orders (const worker_t *w, Cb__WorkerOrders *orders);
+
 /* place.c */
 void place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms);
 
--- a/batch/orders.c
+++ b/batch/orders.c
@@ -103,6 +103,7 @@
       else if (!task->seen && !task->proposed_end)
         add_start (orders, task);
     }
+  pace_orders (w, orders);
   add_stops_of_earlier_lives (b, orders, w);
   for (guint i = 0; i < w->strays->len; i++)
     cb_msg_append ((void ***)&orders->stops, &orders->n_stops,
--- a/batch/place.c
+++ b/batch/place.c
@@ -72,11 +72,14 @@
             cb_msec_t now_ms)
 {
   job_t *job = demand.job;
+  gboolean restarts = job->started && job->spec->steps[demand.step]->daemon;
 
   demand.latest_start_ms = job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
-  demand.late = now_ms > demand.latest_start_ms;
-  demand.at_risk = now_ms > demand.latest_start_ms -
-                                AT_RISK_MS * (cb_msec_t)MAX (1, job->spec->priority);
+  /* A lasting task that ended is never late: it has to run again as soon as it can. */
+  demand.late = !restarts && now_ms > demand.latest_start_ms;
+  demand.at_risk =
+      restarts || now_ms > demand.latest_start_ms -
+                               AT_RISK_MS * (cb_msec_t)MAX (1, job->spec->priority);
   demand.idle =
       use < IDLE_USE && job->open_runs == 0 && now_ms - job->idle_ms > IDLE_WAIT_MS;
   demand.use_kept = job->spec->priority == 0 || demand.at_risk || demand.idle;
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -102,6 +102,14 @@
          (!claim->guaranteed && ends_soon (claim, task));
 }
 
+/* Lasting tasks give way only to a guarantee, and not where their step bounds how many
+   may be away. */
+static gboolean
+must_last (const claim_t *claim, const Cb__BatchStep *step)
+{
+  return step->daemon && (!claim->guaranteed || step->max_unavailable > 0);
+}
+
 /* Less urgent work gives way; equally urgent work only to a guarantee when it has none
    itself. */
 static gboolean
@@ -112,7 +120,7 @@
   if (claim->waits)
     return !task_spec (task)->daemon;
   if (task->state != TASK_STARTED || is_leaving (claim, task) ||
-      task_spec (task)->daemon)
+      must_last (claim, task_spec (task)))
     return FALSE;
   if (other->spec->priority > claim->job->spec->priority)
     return TRUE;
--- a/batch/report.c
+++ b/batch/report.c
@@ -100,6 +100,7 @@
       if (task->percent != running->percent)
         task->percent_ms = now_ms;
       task->percent = running->percent;
+      task->latency_ms = task_spec (task)->target_ms > 0 ? running->usage : 0;
       if (running->saved[0] == '\0')
         continue;
       g_free (task->live_saved);
@@ -188,6 +189,7 @@
       take_running (b, w, report, now_ms);
       take_ended (b, w, report);
       take_refusals (b, w, report);
+      pace_worker (w, now_ms);
     }
   if (report->left)
     {
--- a/batch/room.c
+++ b/batch/room.c
@@ -12,6 +12,9 @@
    from the least urgent work. */
 #define KEEP_FROM_OTHERS 0.3
 #define KEEP_FROM_LAST 0.6
+/* A worker where tasks that fill and tasks that serve would meet is worse than any that
+   is free of the other kind, and better than one away from the data. */
+#define DISTURBED_SCORE 100
 
 static room_t *
 room_new (worker_t *w)
@@ -153,7 +156,7 @@
 void
 room_take (room_t *room, const Cb__BatchStep *step)
 {
-  room->cpu_milli -= step->fills ? 0 : step->cpu_milli;
+  *(step->fills ? &room->fill_milli : &room->cpu_milli) -= step->cpu_milli;
   room->memory_mb -= step->memory_mb;
   room->accelerators -= step->accelerators;
 }
@@ -161,7 +164,7 @@
 void
 room_give (room_t *room, const Cb__BatchStep *step)
 {
-  room->cpu_milli += step->fills ? 0 : step->cpu_milli;
+  *(step->fills ? &room->fill_milli : &room->cpu_milli) += step->cpu_milli;
   room->memory_mb += step->memory_mb;
   room->accelerators += step->accelerators;
 }
@@ -206,15 +209,39 @@
          tasks_of_step (w, task) + more < step->per_worker_max;
 }
 
+/* TRUE when STEP fills beside tasks that serve on W, or serves beside those that fill.
+ */
+static gboolean
+is_disturbed (const worker_t *w, const Cb__BatchStep *step)
+{
+  if (!step->fills && step->target_ms == 0)
+    return FALSE;
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const Cb__BatchStep *other = task_spec (w->tasks->pdata[i]);
+
+      if (step->fills ? other->target_ms > 0 : other->fills)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Lower is better: away from its data last, then the fullest worker that still holds
-   the task, by accelerators and then by cores, so that whole workers stay free. */
+   the task, by accelerators and then by cores, so that whole workers stay free. Work
+   that fills uses what others leave: it goes to the worker with most unused cores. */
 static double
 room_score (const room_t *room, const Cb__BatchStep *step, cb_msec_t avoid_ms)
 {
   const worker_t *w = room->worker;
+  double free_share = (double)(room->cpu_milli - (int64_t)step->cpu_milli) /
+                      (double)MAX (1, w->cpu_milli);
+  double unused_share =
+      (double)(room->cpu_milli + room->fill_milli) / (double)MAX (1, w->cpu_milli);
   double score = (double)(room->accelerators - (int64_t)step->accelerators) +
-                 (double)(room->cpu_milli - (int64_t)step->cpu_milli) /
-                     (double)MAX (1, w->cpu_milli);
+                 (step->fills ? -unused_share : free_share);
+
+  if (is_disturbed (w, step))
+    score += DISTURBED_SCORE;
 
   if (step->data_rack[0] != '\0' && strcmp (w->rack, step->data_rack) != 0)
     score += 1000;
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -10,14 +10,15 @@
   TASK_REFUSED,  /* a start that will never happen */
 } call_state_t;
 
-/* One ordered start or stop. */
+/* One ordered start, stop or pace. */
 typedef struct
 {
   cb_batch_agent_t *agent; /* NULL: not ordered any more, freed with the answer */
   char *key;
   gboolean is_stop;
   Cb__TaskRun *run;
-  Cb__OrderedStart *start;
+  Cb__OrderedStart *start; /* NULL unless it is a start */
+  Cb__TaskPace *pace;      /* NULL unless it is a pace */
   call_state_t state;
   gboolean tried;       /* a call was sent at least once */
   uint64_t answered_at; /* number of the newest hold when the answer came */
@@ -37,6 +38,7 @@
     }
   cb_msg_free (order->run);
   cb_msg_free (order->start);
+  cb_msg_free (order->pace);
   g_free (order->key);
   g_free (order);
 }
@@ -91,12 +93,34 @@
       if (order->is_stop && order->state == TASK_ANSWERED)
         cb_msg_append ((void ***)&report->absent, &report->n_absent,
                        cb_msg_copy (&order->run->base));
-      else if (!order->is_stop && order->state == TASK_REFUSED)
+      else if (order->start != NULL && order->state == TASK_REFUSED)
         cb_msg_append ((void ***)&report->rejected, &report->n_rejected,
                        cb_msg_copy (&order->run->base));
     }
 }
 
+static const char *
+order_word (const order_t *order)
+{
+  if (order->is_stop)
+    return "stop";
+  return order->start != NULL ? "start" : "pace";
+}
+
+static void
+log_failure (const order_t *order, int err, const char *reason)
+{
+  const Cb__TaskRun *run = order->run;
+  const char *event = order->is_stop         ? "stop_failed"
+                      : order->start != NULL ? "start_failed"
+                                             : "pace_failed";
+
+  cb_event_always (CB_LOG_WARN, "agent", event,
+                   "job=%s task=%u.%u.%u run=%u err=%d reason=%s", run->job,
+                   run->occurrence, run->step, run->index, run->run, err,
+                   reason == NULL ? "" : reason);
+}
+
 static void
 on_ordered (void *ctx, int err, const char *reason)
 {
@@ -109,22 +133,18 @@
       free_order (order);
       return;
     }
-  cb_batch_agent_count (agent, order->is_stop ? "stop" : "start", err,
+  cb_batch_agent_count (agent, order_word (order), err,
                         cb_batch_now () - order->sent_ms);
   order->answered_at = agent->hold_number;
   order->retry_ms = cb_batch_now () + CB_AGENT_RETRY_MS;
   if (err == CB_OK)
     order->state = TASK_ANSWERED;
   else if (err == CB_PLATFORM_REJECTED)
-    order->state = order->is_stop ? TASK_ANSWERED : TASK_REFUSED;
+    order->state = order->start == NULL ? TASK_ANSWERED : TASK_REFUSED;
   else if (err == CB_PLATFORM_FENCED)
     agent->fenced_epoch = MAX (agent->fenced_epoch, agent->epoch);
   if (err < 0)
-    cb_event_always (CB_LOG_WARN, "agent",
-                     order->is_stop ? "stop_failed" : "start_failed",
-                     "job=%s task=%u.%u.%u run=%u err=%d reason=%s", order->run->job,
-                     order->run->occurrence, order->run->step, order->run->index,
-                     order->run->run, err, reason == NULL ? "" : reason);
+    log_failure (order, err, reason);
 }
 
 /* Sends ORDER to the worker. A start for a worker that drains is refused here instead,
@@ -134,7 +154,7 @@
 {
   cb_worker_target_t target = cb_batch_agent_target (agent);
 
-  if (!order->is_stop && agent->report->draining)
+  if (order->start != NULL && agent->report->draining)
     {
       if (!order->tried)
         {
@@ -152,6 +172,8 @@
   order->sent_ms = cb_batch_now ();
   if (order->is_stop)
     cb_worker_stop (agent->loop, &target, order->run, on_ordered, order);
+  else if (order->pace != NULL)
+    cb_worker_pace (agent->loop, &target, order->pace, on_ordered, order);
   else
     cb_worker_start (agent->loop, &target, order->start, on_ordered, order);
 }
@@ -172,32 +194,63 @@
       order_t *order = value;
 
       if (order->state == TASK_OPEN && now_ms >= order->retry_ms &&
-          (order->is_stop || agent->lease_until_ms > 0))
+          (order->start == NULL || agent->lease_until_ms > 0))
         send_order (agent, order);
     }
 }
 
-static void
-add_order (cb_batch_agent_t *agent, GHashTable *wanted, const Cb__TaskRun *run,
-           const Cb__OrderedStart *start)
+/* Adds an order, PREFIX says of what, unless the agent has it. Returns the new one, or
+   NULL. */
+static order_t *
+add_order (cb_batch_agent_t *agent, GHashTable *wanted, const char *prefix,
+           const Cb__TaskRun *run)
 {
-  char *key = g_strdup_printf ("%c%s.%u.%u.%u.%u", start == NULL ? '-' : '+', run->job,
-                               run->occurrence, run->step, run->index, run->run);
+  char *key = g_strdup_printf ("%s %s.%u.%u.%u.%u", prefix, run->job, run->occurrence,
+                               run->step, run->index, run->run);
   order_t *order = g_hash_table_lookup (agent->orders, key);
 
   g_hash_table_add (wanted, g_strdup (key));
   if (order != NULL)
     {
       g_free (key);
-      return;
+      return NULL;
     }
   order = g_new0 (order_t, 1);
   order->agent = agent;
   order->key = key;
-  order->is_stop = start == NULL;
   order->run = (Cb__TaskRun *)cb_msg_copy (&run->base);
-  order->start = start == NULL ? NULL : (Cb__OrderedStart *)cb_msg_copy (&start->base);
   g_hash_table_insert (agent->orders, order->key, order);
+  return order;
+}
+
+static void
+add_start (cb_batch_agent_t *agent, GHashTable *wanted, const Cb__OrderedStart *start)
+{
+  order_t *order = add_order (agent, wanted, "start", start->run);
+
+  if (order != NULL)
+    order->start = (Cb__OrderedStart *)cb_msg_copy (&start->base);
+}
+
+static void
+add_stop (cb_batch_agent_t *agent, GHashTable *wanted, const Cb__TaskRun *run)
+{
+  order_t *order = add_order (agent, wanted, "stop", run);
+
+  if (order != NULL)
+    order->is_stop = TRUE;
+}
+
+/* A pace with another share is another order. */
+static void
+add_pace (cb_batch_agent_t *agent, GHashTable *wanted, const Cb__TaskPace *pace)
+{
+  char *prefix = g_strdup_printf ("pace %u", pace->percent);
+  order_t *order = add_order (agent, wanted, prefix, pace->run);
+
+  if (order != NULL)
+    order->pace = (Cb__TaskPace *)cb_msg_copy (&pace->base);
+  g_free (prefix);
 }
 
 static gboolean
@@ -225,9 +278,11 @@
   agent->last_seen = MAX (agent->last_seen, orders->last_seen);
   wanted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (size_t i = 0; i < orders->n_starts; i++)
-    add_order (agent, wanted, orders->starts[i]->run, orders->starts[i]);
+    add_start (agent, wanted, orders->starts[i]);
   for (size_t i = 0; i < orders->n_stops; i++)
-    add_order (agent, wanted, orders->stops[i], NULL);
+    add_stop (agent, wanted, orders->stops[i]);
+  for (size_t i = 0; i < orders->n_paces; i++)
+    add_pace (agent, wanted, orders->paces[i]);
   g_hash_table_foreach_remove (agent->orders, is_unwanted, wanted);
   g_hash_table_unref (wanted);
   cb_batch_agent_send_orders (agent);
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &cb__ordered_start__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cb__task_pace__init
+                     (Cb__TaskPace         *message)
+{
+  static const Cb__TaskPace init_value = CB__TASK_PACE__INIT;
+  *message = init_value;
+}
+size_t cb__task_pace__get_packed_size
+                     (const Cb__TaskPace *message)
+{
+  assert(message->base.descriptor == &cb__task_pace__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cb__task_pace__pack
+                     (const Cb__TaskPace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cb__task_pace__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cb__task_pace__pack_to_buffer
+                     (const Cb__TaskPace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cb__task_pace__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cb__TaskPace *
+       cb__task_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cb__TaskPace *)
+     protobuf_c_message_unpack (&cb__task_pace__descriptor,
+                                allocator, len, data);
+}
+void   cb__task_pace__free_unpacked
+                     (Cb__TaskPace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cb__task_pace__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cb__worker_orders__init
                      (Cb__WorkerOrders         *message)
 {
@@ -2701,7 +2746,58 @@
   (ProtobufCMessageInit) cb__ordered_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__worker_orders__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cb__task_pace__field_descriptors[2] =
+{
+  {
+    "run",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cb__TaskPace, run),
+    &cb__task_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__TaskPace, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cb__task_pace__field_indices_by_name[] = {
+  1,   /* field[1] = percent */
+  0,   /* field[0] = run */
+};
+static const ProtobufCIntRange cb__task_pace__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cb__task_pace__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cb.TaskPace",
+  "TaskPace",
+  "Cb__TaskPace",
+  "cb",
+  sizeof(Cb__TaskPace),
+  2,
+  cb__task_pace__field_descriptors,
+  cb__task_pace__field_indices_by_name,
+  1,  cb__task_pace__number_ranges,
+  (ProtobufCMessageInit) cb__task_pace__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cb__worker_orders__field_descriptors[7] =
 {
   {
     "worker",
@@ -2775,11 +2871,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "paces",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cb__WorkerOrders, n_paces),
+    offsetof(Cb__WorkerOrders, paces),
+    &cb__task_pace__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__worker_orders__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   3,   /* field[3] = last_seen */
   2,   /* field[2] = lease_until_ms */
+  6,   /* field[6] = paces */
   4,   /* field[4] = starts */
   5,   /* field[5] = stops */
   0,   /* field[0] = worker */
@@ -2787,7 +2896,7 @@
 static const ProtobufCIntRange cb__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cb__worker_orders__descriptor =
 {
@@ -2797,14 +2906,14 @@
   "Cb__WorkerOrders",
   "cb",
   sizeof(Cb__WorkerOrders),
-  6,
+  7,
   cb__worker_orders__field_descriptors,
   cb__worker_orders__field_indices_by_name,
   1,  cb__worker_orders__number_ranges,
   (ProtobufCMessageInit) cb__worker_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__running_task__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cb__running_task__field_descriptors[4] =
 {
   {
     "run",
@@ -2842,16 +2951,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "usage",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__RunningTask, usage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__running_task__field_indices_by_name[] = {
   2,   /* field[2] = percent */
   0,   /* field[0] = run */
   1,   /* field[1] = saved */
+  3,   /* field[3] = usage */
 };
 static const ProtobufCIntRange cb__running_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cb__running_task__descriptor =
 {
@@ -2861,7 +2983,7 @@
   "Cb__RunningTask",
   "cb",
   sizeof(Cb__RunningTask),
-  3,
+  4,
   cb__running_task__field_descriptors,
   cb__running_task__field_indices_by_name,
   1,  cb__running_task__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Cb__BatchJobState Cb__BatchJobState;
 typedef struct Cb__BatchSnapshot Cb__BatchSnapshot;
 typedef struct Cb__OrderedStart Cb__OrderedStart;
+typedef struct Cb__TaskPace Cb__TaskPace;
 typedef struct Cb__WorkerOrders Cb__WorkerOrders;
 typedef struct Cb__RunningTask Cb__RunningTask;
 typedef struct Cb__EndedTask Cb__EndedTask;
@@ -434,6 +435,20 @@
     , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * The share of its work that a task that fills may do, 0 to 100.
+ */
+struct  Cb__TaskPace
+{
+  ProtobufCMessage base;
+  Cb__TaskRun *run;
+  uint32_t percent;
+};
+#define CB__TASK_PACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cb__task_pace__descriptor) \
+    , NULL, 0 }
+
+
 /*
  * All that an agent has to do; repeated until its report shows that it is done.
  */
@@ -457,10 +472,12 @@
   Cb__OrderedStart **starts;
   size_t n_stops;
   Cb__TaskRun **stops;
+  size_t n_paces;
+  Cb__TaskPace **paces;
 };
 #define CB__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__worker_orders__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Cb__RunningTask
@@ -469,10 +486,14 @@
   Cb__TaskRun *run;
   char *saved;
   uint32_t percent;
+  /*
+   * in the last half second: of a task with a target, its tail
+   */
+  uint32_t usage;
 };
 #define CB__RUNNING_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__running_task__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, 0 }
+    , NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cb__EndedTask
@@ -943,6 +964,25 @@
 void   cb__ordered_start__free_unpacked
                      (Cb__OrderedStart *message,
                       ProtobufCAllocator *allocator);
+/* Cb__TaskPace methods */
+void   cb__task_pace__init
+                     (Cb__TaskPace         *message);
+size_t cb__task_pace__get_packed_size
+                     (const Cb__TaskPace   *message);
+size_t cb__task_pace__pack
+                     (const Cb__TaskPace   *message,
+                      uint8_t             *out);
+size_t cb__task_pace__pack_to_buffer
+                     (const Cb__TaskPace   *message,
+                      ProtobufCBuffer     *buffer);
+Cb__TaskPace *
+       cb__task_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cb__task_pace__free_unpacked
+                     (Cb__TaskPace *message,
+                      ProtobufCAllocator *allocator);
 /* Cb__WorkerOrders methods */
 void   cb__worker_orders__init
                      (Cb__WorkerOrders         *message);
@@ -1094,6 +1134,9 @@
 typedef void (*Cb__OrderedStart_Closure)
                  (const Cb__OrderedStart *message,
                   void *closure_data);
+typedef void (*Cb__TaskPace_Closure)
+                 (const Cb__TaskPace *message,
+                  void *closure_data);
 typedef void (*Cb__WorkerOrders_Closure)
                  (const Cb__WorkerOrders *message,
                   void *closure_data);
@@ -1134,6 +1177,7 @@
 extern const ProtobufCMessageDescriptor cb__batch_job_state__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor cb__ordered_start__descriptor;
+extern const ProtobufCMessageDescriptor cb__task_pace__descriptor;
 extern const ProtobufCMessageDescriptor cb__worker_orders__descriptor;
 extern const ProtobufCMessageDescriptor cb__running_task__descriptor;
 extern const ProtobufCMessageDescriptor cb__ended_task__descriptor;
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -104,6 +104,53 @@
   EXPECT_EQ (site.Status ("late"), CB_JOB_COMPLETED);
 }
 
+// Guards against guaranteed accelerators that lasting tasks of others hold for good,
+// and against stops of lasting tasks whose step bounds how many may be away.
+TEST (BatchPlace, GuaranteeTakesBackFromLastingTasksThatMayBeAway)
+{
+  BatchSite site (2, 1, { { "owner", 8 } });
+  StepSpec free = { 8 };
+  StepSpec bound = { 8 };
+
+  free.lasts = true;
+  bound.lasts = true;
+  bound.max_unavailable = 1;
+  site.SubmitAndRun ("free", 0, { free }, 600000, 200, "other");
+  site.SubmitAndRun ("bound", 0, { bound }, 600000, 5000, "other");
+  EXPECT_EQ (site.Running ("free") + site.Running ("bound"), 16);
+  cb_msec_t accepted = site.now;
+  site.length_ms["own"] = 5000;
+  site.Submit ("own", 0, { { 1, 8 } }, "owner");
+  site.Advance (site.params.reclaim_ms);
+  ASSERT_EQ (site.first_start_ms.count ("own.0.0.0"), 1u);
+  EXPECT_LE (site.first_start_ms["own.0.0.0"] - accepted, site.params.reclaim_ms);
+  EXPECT_EQ (site.Running ("bound"), 8);
+}
+
+// Guards against lasting tasks that wait behind all other work after they failed, since
+// their job was accepted long ago and counts as late (LOST on a trial site, late-orders
+// --vary --seed 1052602975003).
+TEST (BatchPlace, LastingTaskIsRestartedBeforeWaitingWork)
+{
+  BatchSite site (1, 1);
+  StepSpec lasting = { 4 };
+
+  lasting.lasts = true;
+  for (int i = 0; i < 4; i++)
+    site.fails["l.0.0." + std::to_string (i)] = 1;
+  site.SubmitAndRun ("l", 2, { lasting }, 20000, 15000);
+  EXPECT_EQ (site.Running ("l"), 4);
+  for (int i = 0; i < 30; i++)
+    {
+      std::string id = "q" + std::to_string (i);
+      site.length_ms[id] = 6000;
+      site.Submit (id, 2, { { 2 } });
+    }
+  site.length_ms["l"] = 600000;
+  site.Advance (5000 + 3000);
+  EXPECT_EQ (site.Running ("l"), 4);
+}
+
 // A burst of urgent jobs beside less urgent ones that could fill the fleet: what
 // callers of urgent jobs get. The bound is their objective, 1.5 times the work and 250
 // ms.
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -402,6 +402,29 @@
              1);
 }
 
+// Guards against serving tasks whose response times stay over their target because of
+// tasks that fill beside them.
+TEST (PlatformSite, FillingTaskIsSlowedDownBesideAServingOne)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  std::string serving = site.Job (1, 1, "serve 60000");
+  std::string filling = site.Job (1, 1, "fill 60000");
+  serving.insert (serving.size () - 3, ",\"daemon\":true,\"targetMs\":50");
+  filling.insert (filling.size () - 3, ",\"fills\":true");
+  EXPECT_EQ (site.Submit (0, 1, 0, serving).status, 200);
+  EXPECT_EQ (site.Submit (0, 2, 0, filling).status, 200);
+  EXPECT_TRUE (site.Until ([&] {
+    std::ifstream trace (site.Dir () + "/runner0.trace");
+    std::string text ((std::istreambuf_iterator<char> (trace)),
+                      std::istreambuf_iterator<char> ());
+    return site.Count (text, "\"ev\":\"pace\"") > 0 &&
+           text.find ("\"percent\":0") != std::string::npos;
+  }));
+  site.CheckRuns ();
+}
+
 // A planned stop answers what it has taken and hands the scheduler's role over.
 TEST (PlatformSite, StoppedEntryEndsInTimeAndHandsOver)
 {
