Judge an occurrence by the time when it is due

Cause: the latest start of work was counted from the acceptance of its job. All occurrences but the first counted as late from the moment they were due, and went behind all other work.

BatchPlace.OccurrenceIsJudgedBy... fails without it.

--- a/batch/local.h
+++ b/batch/local.h
@@ -186,6 +186,7 @@
 const Cb__BatchStep *task_spec (const task_t *task);
 step_state_t *task_step (const task_t *task);
 gboolean job_open (const job_t *job);
+cb_msec_t occurrence_due_ms (const job_t *job, uint32_t occurrence);
 gboolean step_ready (const job_t *job, uint32_t occurrence, uint32_t step,
                      cb_msec_t wall_ms);
 worker_t *get_worker (cb_batch_t *b, const char *id, uint64_t born_ms,
--- a/batch/place.c
+++ b/batch/place.c
@@ -69,12 +69,14 @@
 
 static void
 add_demand (cb_batch_t *b, GArray *demands, demand_t demand, double use,
-            cb_msec_t now_ms)
+            cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   job_t *job = demand.job;
   gboolean restarts = job->started && job->spec->steps[demand.step]->daemon;
+  cb_msec_t due_ms = occurrence_due_ms (job, demand.occurrence) - wall_ms + now_ms;
 
-  demand.latest_start_ms = job->folded_ms + objective_ms (b, job) - chain_ms (b, job);
+  demand.latest_start_ms =
+      MAX (job->folded_ms, due_ms) + objective_ms (b, job) - chain_ms (b, job);
   /* A lasting task that ended is never late: it has to run again as soon as it can. */
   demand.late = !restarts && now_ms > demand.latest_start_ms;
   demand.at_risk =
@@ -101,7 +103,7 @@
           continue;
         if (step->waves == 0)
           step->waves = room_waves (rooms, job->spec->steps[i]);
-        add_demand (b, demands, demand, use, now_ms);
+        add_demand (b, demands, demand, use, now_ms, wall_ms);
       }
 }
 
--- a/batch/state.c
+++ b/batch/state.c
@@ -140,6 +140,16 @@
   return job->ended_wall_ms == 0 && !job->canceled && !job->failed;
 }
 
+/* Returns when an occurrence of a job with times may start, by the wall clock; 0 for
+   other jobs. */
+cb_msec_t
+occurrence_due_ms (const job_t *job, uint32_t occurrence)
+{
+  if (job->spec->times == 0)
+    return 0;
+  return (cb_msec_t)(job->spec->start_at_ms + occurrence * job->spec->interval_ms);
+}
+
 /* TRUE when the tasks of STEP may run: its start time has come and all tasks of the
    steps before it are done. */
 gboolean
@@ -148,8 +158,7 @@
   const Cb__BatchStep *spec = job->spec->steps[step];
   const occurrence_t *o = &job->occurrences[occurrence];
 
-  if (job->spec->times > 0 &&
-      (uint64_t)wall_ms < job->spec->start_at_ms + occurrence * job->spec->interval_ms)
+  if (wall_ms < occurrence_due_ms (job, occurrence))
     return FALSE;
   for (size_t i = 0; i < spec->n_after; i++)
     if (o->steps[spec->after[i]].done < o->steps[spec->after[i]].count)
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -93,6 +93,8 @@
   std::vector<std::string> violations;
   uint64_t epoch = 0;
   bool keep_log = false;
+  uint32_t times = 0;            // occurrences of the next jobs, from now on
+  cb_msec_t interval_ms = 0;     // between them
   bool log_away = false;         // records of the scheduler wait
   std::set<std::string> allowed; // workers that the advisor allows
   cb_msec_t ticket_ms = 0;       // validity; 0: workers ask for no ticket
@@ -174,6 +176,9 @@
     job->attempts = attempts;
     job->stretch_milli = priority == 0 ? 1500 : 3000;
     job->slack_ms = priority == 0 ? 250 : 3000;
+    job->times = times;
+    job->start_at_ms = static_cast<uint64_t> (now);
+    job->interval_ms = static_cast<uint64_t> (interval_ms);
     for (const StepSpec &s : steps)
       {
         auto *step =
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -127,6 +127,26 @@
   EXPECT_EQ (site.Running ("bound"), 8);
 }
 
+// Guards against later occurrences of a job that count as late since the job was
+// accepted long ago, and run behind all other work.
+TEST (BatchPlace, OccurrenceIsJudgedByTheTimeWhenItIsDue)
+{
+  BatchSite site (1, 1);
+
+  site.times = 2;
+  site.interval_ms = 30000;
+  site.SubmitAndRun ("timed", 1, { { 1, 8 } }, 1000, 29000);
+  site.times = 0;
+  for (int i = 0; i < 12; i++)
+    {
+      std::string id = "q" + std::to_string (i);
+      site.length_ms[id] = 2000;
+      site.Submit (id, 2, { { 1, 8 } });
+    }
+  site.Advance (1000 + 4500);
+  EXPECT_EQ (site.first_start_ms.count ("timed.1.0.0"), 1u);
+}
+
 // Guards against room that is held for work in the belief that lasting tasks, which
 // show 100%, are about to end (LOST on a trial site, mix --seed 195967259795).
 TEST (BatchPlace, LastingTasksAreNotExpectedToEnd)
