Count done work for the objective of a job

Later steps counted as late too early, and went behind work with more time.

Cause: the objective was computed from the chain of work that is not done, so it shrank with each step that ended, and the latest start came before the time at which the step could run at all.

Ruled out: wrong declared times; with exact ones the test fails the same.

BatchPlace.LaterStepIsJudged... fails without it.

--- a/batch/learn.c
+++ b/batch/learn.c
@@ -86,23 +86,23 @@
   return MAX (1, expected - ran_ms);
 }
 
-/* Returns the longest chain of expected times along the job's steps in ms, of the work
-   that is not done yet; a wide step counts once for each of its waves. */
+/* Returns the longest chain of expected times along the steps of an occurrence in ms,
+   of all its work with WHOLE, otherwise of what is not done yet; a wide step counts
+   once for each of its waves. */
 cb_msec_t
-chain_ms (const cb_batch_t *b, const job_t *job)
+chain_ms (const cb_batch_t *b, const job_t *job, uint32_t occurrence, gboolean whole)
 {
   const Cb__BatchJob *spec = job->spec;
   cb_msec_t *longest = g_new0 (cb_msec_t, MAX (1, spec->n_steps));
-  const occurrence_t *occurrence = &job->occurrences[job->n_occurrences - 1];
   cb_msec_t result = 0;
 
   for (uint32_t i = 0; i < spec->n_steps; i++)
     {
-      const step_state_t *step = &occurrence->steps[i];
+      const step_state_t *step = &job->occurrences[occurrence].steps[i];
 
       for (size_t k = 0; k < spec->steps[i]->n_after; k++)
         longest[i] = MAX (longest[i], longest[spec->steps[i]->after[k]]);
-      if (step->done < step->count)
+      if (whole || step->done < step->count)
         longest[i] += expected_ms (b, spec, i) * MAX (1, step->waves);
       result = MAX (result, longest[i]);
     }
--- a/batch/local.h
+++ b/batch/local.h
@@ -250,7 +250,8 @@
 void learn_end (cb_batch_t *b, const task_t *task, Cb__RunEnd how, cb_msec_t now_ms);
 cb_msec_t expected_ms (const cb_batch_t *b, const Cb__BatchJob *job, uint32_t step);
 cb_msec_t remaining_ms (const cb_batch_t *b, const task_t *task, cb_msec_t now_ms);
-cb_msec_t chain_ms (const cb_batch_t *b, const job_t *job);
+cb_msec_t chain_ms (const cb_batch_t *b, const job_t *job, uint32_t occurrence,
+                    gboolean whole);
 
 G_END_DECLS
 
--- a/batch/place.c
+++ b/batch/place.c
@@ -32,9 +32,10 @@
 } demand_t;
 
 static cb_msec_t
-objective_ms (const cb_batch_t *b, const job_t *job)
+objective_ms (const cb_batch_t *b, const job_t *job, uint32_t occurrence)
 {
-  return (cb_msec_t)((double)chain_ms (b, job) * job->spec->stretch_milli / 1000) +
+  return (cb_msec_t)((double)chain_ms (b, job, occurrence, TRUE) *
+                     job->spec->stretch_milli / 1000) +
          job->spec->slack_ms;
 }
 
@@ -75,8 +76,9 @@
   gboolean restarts = job->started && job->spec->steps[demand.step]->daemon;
   cb_msec_t due_ms = occurrence_due_ms (job, demand.occurrence) - wall_ms + now_ms;
 
-  demand.latest_start_ms =
-      MAX (job->folded_ms, due_ms) + objective_ms (b, job) - chain_ms (b, job);
+  demand.latest_start_ms = MAX (job->folded_ms, due_ms) +
+                           objective_ms (b, job, demand.occurrence) -
+                           chain_ms (b, job, demand.occurrence, FALSE);
   /* A lasting task that ended is never late: it has to run again as soon as it can. */
   demand.late = !restarts && now_ms > demand.latest_start_ms;
   demand.at_risk =
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -93,6 +93,7 @@
   std::vector<std::string> violations;
   uint64_t epoch = 0;
   bool keep_log = false;
+  std::string queue;             // of the next jobs; empty: by priority
   uint32_t times = 0;            // occurrences of the next jobs, from now on
   cb_msec_t interval_ms = 0;     // between them
   bool log_away = false;         // records of the scheduler wait
@@ -169,7 +170,9 @@
     Cb__BatchRecord *record = NewRecord (CB__BATCH_RECORD__BODY_SUBMIT);
     auto *job = static_cast<Cb__BatchJob *> (cb_msg_new (&cb__batch_job__descriptor));
     cb_msg_set_string (&job->id, id.c_str ());
-    cb_msg_set_string (&job->queue, ("q" + std::to_string (priority)).c_str ());
+    cb_msg_set_string (&job->queue, queue.empty ()
+                                        ? ("q" + std::to_string (priority)).c_str ()
+                                        : queue.c_str ());
     cb_msg_set_string (&job->service, "svc");
     cb_msg_set_string (&job->account, account.c_str ());
     job->priority = priority;
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -147,6 +147,36 @@
   EXPECT_EQ (site.first_start_ms.count ("timed.1.0.0"), 1u);
 }
 
+// Guards against the later steps of a job being taken as late because the work that is
+// done does not count for its objective any more.
+TEST (BatchPlace, LaterStepIsJudgedByTheObjectiveOfTheWholeJob)
+{
+  BatchSite site (1, 1);
+  StepSpec first = { 1, 8 };
+  StepSpec second = { 1, 8 };
+
+  first.estimate_ms = second.estimate_ms = 5000;
+  second.after = { 0 };
+  site.length_ms["busy"] = 9000;
+  site.length_ms["steps"] = 5000;
+  site.Submit ("busy", 0, { { 1, 8 } });
+  site.Submit ("steps", 1, { first, second });
+  site.Advance (13500);
+  site.queue = "other";
+  for (int i = 0; i < 12; i++)
+    {
+      std::string id = "q" + std::to_string (i);
+      StepSpec waiting = { 1, 8 };
+
+      waiting.estimate_ms = 8000;
+      site.length_ms[id] = 8000;
+      site.Submit (id, 1, { waiting });
+    }
+  site.Advance (4500);
+  EXPECT_EQ (site.first_start_ms.count ("steps.0.0.0"), 1u);
+  EXPECT_EQ (site.first_start_ms.count ("steps.0.1.0"), 1u);
+}
+
 // Guards against room that is held for work in the belief that lasting tasks, which
 // show 100%, are about to end (LOST on a trial site, mix --seed 195967259795).
 TEST (BatchPlace, LastingTasksAreNotExpectedToEnd)
