Add carobrun explain: the story of one batch job from all logs

On-call engineers had grep and a page that says what to look for. The command merges the logs by time, marks the lines of the job, adds what its processes believed meanwhile (a lost log, a new scheduler, the end of a worker), and says what explains refusals, waiting and repeated runs, and what is missing.

Log lines gave nonsense for what was never seen: agent_silent since_ms was the machine's up time for an agent that never reported, claim silent_ms likewise.

--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -142,7 +142,7 @@
     {
       cb_event (CB_LOG_WARN, "entry", "agent_silent",
                 "agent=%s address=%s since_ms=%" PRId64, name, address,
-                now_ms - link->heard_ms);
+                now_ms - (link->heard_ms > 0 ? link->heard_ms : link->connected_ms));
       connect_link (entry, link, now_ms);
     }
   else if (link->wire != NULL && (cb_batch_orders_changed (entry->batch, name) ||
@@ -167,6 +167,7 @@
 claim (cb_batch_entry_t *entry, cb_msec_t now_ms)
 {
   uint64_t epoch = cb_batch_epoch (entry->batch);
+  cb_msec_t seen_ms = cb_batch_scheduler_seen_ms (entry->batch);
   Cb__BatchRecord *record;
 
   if (entry->claimed == epoch + 1 && now_ms - entry->claim_ms < CLAIM_RETRY_MS)
@@ -180,7 +181,7 @@
   cb_event_always (CB_LOG_INFO, "entry", "claim",
                    "replaces=%" PRIu64 " scheduler=%s silent_ms=%" PRId64, epoch,
                    cb_batch_scheduler (entry->batch),
-                   now_ms - cb_batch_scheduler_seen_ms (entry->batch));
+                   seen_ms == 0 ? 0 : now_ms - seen_ms);
   cb_batch_append (entry, record, NULL, NULL);
 }
 
--- a/cmd/fns.h
+++ b/cmd/fns.h
@@ -46,6 +46,7 @@
 int cb_cmd_counters (int argc, char **argv);
 int cb_cmd_drain (int argc, char **argv);
 int cb_cmd_entry (int argc, char **argv);
+int cb_cmd_explain (int argc, char **argv);
 int cb_cmd_fetch (int argc, char **argv);
 int cb_cmd_gentrace (int argc, char **argv);
 int cb_cmd_jobs (int argc, char **argv);
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -425,6 +425,66 @@
   site.CheckRuns ();
 }
 
+// What `carobrun explain` prints of a job from the logs of all processes.
+std::string
+Explain (const PlatformSite &site, int id, int *status)
+{
+  std::string command = std::string (getenv ("CAROBRUN_BIN")) + "/carobrun explain " +
+                        PlatformSite::Id (id) + " " + site.Dir () + "/entry*.log " +
+                        site.Dir () + "/agent*.log 2>&1";
+  FILE *pipe = popen (command.c_str (), "r");
+  std::string text;
+  char buffer[4096];
+
+  while (size_t n = fread (buffer, 1, sizeof buffer, pipe))
+    text.append (buffer, n);
+  *status = WEXITSTATUS (pclose (pipe));
+  return text;
+}
+
+// Each failure is brought about; the explanation of a job that met it names the cause.
+TEST (PlatformSite, ExplainNamesTheCauseOfEachFailure)
+{
+  PlatformSite site (1, 1);
+  int status;
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 4000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "running"; }));
+  site.Kill ("runner0");
+  site.StartRunner (0);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  site.Control (site.store, "{\"mode\":\"busy\"}");
+  site.Pause (500);
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status, 503);
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Submit (0, 3, 0, site.Job (1, 1, "run 50")).status == 200; }));
+  site.Kill ("entry0");
+  site.StartEntry (0);
+  ASSERT_TRUE (site.Up ());
+  site.Submit (0, 3, 0, site.Job (1, 1, "run 50"));
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 3, 0) == "completed"; }));
+
+  std::string lost = Explain (site, 1, &status);
+  EXPECT_EQ (status, 0);
+  EXPECT_NE (
+      lost.find ("run 1 of task 0.0.0 on w0 ended as run_lost; cause: its worker"),
+      std::string::npos)
+      << lost;
+  std::string refused = Explain (site, 2, &status);
+  EXPECT_NE (
+      refused.find ("reason store_unavailable; cause: it had lost the store's log"),
+      std::string::npos)
+      << refused;
+  EXPECT_NE (refused.find ("missing: no entry accepted it"), std::string::npos);
+  std::string killed = Explain (site, 3, &status);
+  EXPECT_NE (killed.find ("entry0.log was killed and started again"), std::string::npos)
+      << killed;
+  Explain (site, 4, &status);
+  EXPECT_EQ (status, 1);
+}
+
 // A planned stop answers what it has taken and hands the scheduler's role over.
 TEST (PlatformSite, StoppedEntryEndsInTimeAndHandsOver)
 {
