Keep the outcome of a submission open that another entry may have stored

Found in review: a request that was passed on to an entry which did not answer got 504, but a repeated one could get 503 from the same entry while the job runs. Only submissions of the entry's own were remembered.

Test: PlatformSite.RepeatedRequestIsNotRefusedWhileAnotherEntryMayHaveIt, which gets 503 without the change.

--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -79,8 +79,7 @@
   cb_msec_t ask_after_ms;    /* the next one not before */
   gboolean registered;       /* its address is in the log, or on the way */
   uint32_t relays;           /* requests passed on so far */
-  GHashTable
-      *shunned; /* address of an entry that cannot serve -> when to ask again, ms */
+  GHashTable *avoided;       /* address of an entry -> when it may be asked again, ms */
   uint64_t
       relayed_version; /* newest configuration behind an answer that was passed on */
 
@@ -135,6 +134,7 @@
 
 /* batch_http.c */
 void cb_batch_serve (cb_batch_entry_t *entry, cb_http_req_t *req);
+void cb_batch_leave_open (cb_batch_entry_t *entry, const char *id);
 void cb_batch_answer (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
                       const char *body, size_t len);
 void cb_batch_refuse (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -90,7 +90,7 @@
   entry.store = cb_store_new (entry.loop, settings->store_address);
   entry.batch = cb_batch_new_state (&entry);
   entry.open_outcomes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  entry.shunned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  entry.avoided = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry.saved_ms = cb_batch_now ();
   if (cb_batch_http_open (&entry) < 0)
     return CB_EXIT_USAGE;
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -95,8 +95,8 @@
 }
 
 /* Remembers that job ID may be stored although its caller was not told so. */
-static void
-leave_open (cb_batch_entry_t *entry, const char *id)
+void
+cb_batch_leave_open (cb_batch_entry_t *entry, const char *id)
 {
   cb_msec_t now_ms = cb_batch_now ();
   cb_msec_t *since_ms = g_new (cb_msec_t, 1);
@@ -143,7 +143,7 @@
   if (err == CB_OK)
     g_hash_table_remove (entry->open_outcomes, id);
   else if (err == CB_LOGC_UNAVAILABLE)
-    leave_open (entry, id);
+    cb_batch_leave_open (entry, id);
   if (err == CB_OK || err == CB_LOGC_UNAVAILABLE)
     on_stored (entry, ctx, err, record);
   else
--- a/cmd/batch_relay.c
+++ b/cmd/batch_relay.c
@@ -68,19 +68,19 @@
 
 /* Keeps requests from the entry at ADDRESS for FOR_MS. */
 static void
-shun (cb_batch_entry_t *entry, const char *address, cb_msec_t for_ms)
+avoid (cb_batch_entry_t *entry, const char *address, cb_msec_t for_ms)
 {
   cb_msec_t *until_ms = g_new (cb_msec_t, 1);
 
   *until_ms = cb_batch_now () + for_ms;
-  g_hash_table_replace (entry->shunned, g_strdup (address), until_ms);
+  g_hash_table_replace (entry->avoided, g_strdup (address), until_ms);
 }
 
 static void
 add_peer (void *ctx, const char *name, const char *address)
 {
   peers_t *peers = ctx;
-  const cb_msec_t *until_ms = g_hash_table_lookup (peers->entry->shunned, address);
+  const cb_msec_t *until_ms = g_hash_table_lookup (peers->entry->avoided, address);
 
   if (strcmp (name, peers->entry->settings->name) != 0 &&
       (until_ms == NULL || *until_ms <= cb_batch_now ()))
@@ -141,6 +141,18 @@
   return strcmp (cb_http_method (relay->req), "GET") == 0;
 }
 
+/* A submission that was passed on may be stored unless the other entry said otherwise.
+ */
+static void
+leave_open (const relay_t *relay)
+{
+  const char *id = strrchr (cb_http_path (relay->req), '/') + 1;
+
+  if (strcmp (cb_http_method (relay->req), "POST") == 0 &&
+      cb_platform_job_id_valid (id))
+    cb_batch_leave_open (relay->entry, id);
+}
+
 static void
 on_answer (void *ctx, int err, int status, const char *body, size_t len)
 {
@@ -154,9 +166,11 @@
             cb_http_method (relay->req), cb_http_path (relay->req), relay->address, err,
             status, relay->tries);
   if (err < 0)
-    shun (relay->entry, relay->address, UNREACHABLE_MS);
+    avoid (relay->entry, relay->address, UNREACHABLE_MS);
   else if (status == MISDIRECTED)
-    shun (relay->entry, relay->address, MISDIRECTED_MS);
+    avoid (relay->entry, relay->address, MISDIRECTED_MS);
+  if (!not_served && (err < 0 || status == 504))
+    leave_open (relay);
   if (not_served && relay->tries < TRIES)
     {
       relay_once (relay);
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -214,6 +214,27 @@
   site.CheckRuns ();
 }
 
+// The same after the request was passed on to an entry that did not answer in time.
+TEST (PlatformSite, RepeatedRequestIsNotRefusedWhileAnotherEntryMayHaveIt)
+{
+  PlatformSite site (2, 1, true);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (1, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  site.Signal ("link-entry0", SIGSTOP);
+  site.Pause (2500);
+  site.Signal ("entry1", SIGSTOP);
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status, 504);
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status, 504);
+  site.Signal ("entry1", SIGCONT);
+  site.Signal ("link-entry0", SIGCONT);
+  EXPECT_TRUE (site.Until (
+      [&] { return site.Submit (1, 2, 0, site.Job (1, 1, "run 50")).status == 200; }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (1, 2, 0) == "completed"; }));
+  site.CheckRuns ();
+}
+
 // A request that waits for the store is served when the store returns in time.
 TEST (PlatformSite, RequestWaitsOutTheEndOfAnOutage)
 {
