Give shared parts of the batch path and its tests one place each

Orders of the agent told their kind by a flag and two pointers; they have a kind, with the words for metrics and log in one table. Scores of a worker and the full share of a task that fills are named constants.

--- a/batch/local.h
+++ b/batch/local.h
@@ -169,6 +169,9 @@
   cb_msec_t placed_ms;
 };
 
+/* Share of its work that a task that fills does where nothing slows it down. */
+#define FULL_PERCENT 100
+
 /* A run's lease on the worker's clock, which may be slow, and the time for a report to
    arrive: after hold_max x LEASE_SLACK + LEASE_MARGIN_MS it is over for sure.
    Source: the platform states clocks up to 2% slow. */
--- a/batch/pace.c
+++ b/batch/pace.c
@@ -11,8 +11,6 @@
 #define CALM_MS 1500
 #define RAISE_PERCENT 15
 
-#define FULL_PERCENT 100
-
 static gboolean
 is_at_work (const task_t *task)
 {
--- a/batch/room.c
+++ b/batch/room.c
@@ -12,9 +12,12 @@
    from the least urgent work. */
 #define KEEP_FROM_OTHERS 0.3
 #define KEEP_FROM_LAST 0.6
-/* A worker where tasks that fill and tasks that serve would meet is worse than any that
-   is free of the other kind, and better than one away from the data. */
+/* Scores of a worker, above what accelerators and cores add to them: where tasks that
+   fill and tasks that serve would meet, away from the step's data, and one that failed
+   or stalled work lately, each worse than all before. */
 #define DISTURBED_SCORE 100
+#define REMOTE_SCORE 1000
+#define AVOIDED_SCORE 100000
 
 static room_t *
 room_new (worker_t *w)
@@ -242,11 +245,10 @@
 
   if (is_disturbed (w, step))
     score += DISTURBED_SCORE;
-
   if (step->data_rack[0] != '\0' && strcmp (w->rack, step->data_rack) != 0)
-    score += 1000;
+    score += REMOTE_SCORE;
   if (avoid_ms > 0)
-    score += 100000;
+    score += AVOIDED_SCORE;
   return score;
 }
 
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -10,15 +10,33 @@
   TASK_REFUSED,  /* a start that will never happen */
 } call_state_t;
 
+typedef enum
+{
+  ORDER_START,
+  ORDER_STOP,
+  ORDER_PACE,
+} order_kind_t;
+
+/* By kind: what metrics call it, and the event of a failure. */
+static const struct
+{
+  const char *word;
+  const char *failed;
+} kinds[] = {
+  [ORDER_START] = { "start", "start_failed" },
+  [ORDER_STOP] = { "stop", "stop_failed" },
+  [ORDER_PACE] = { "pace", "pace_failed" },
+};
+
 /* One ordered start, stop or pace. */
 typedef struct
 {
   cb_batch_agent_t *agent; /* NULL: not ordered any more, freed with the answer */
   char *key;
-  gboolean is_stop;
+  order_kind_t kind;
   Cb__TaskRun *run;
-  Cb__OrderedStart *start; /* NULL unless it is a start */
-  Cb__TaskPace *pace;      /* NULL unless it is a pace */
+  Cb__OrderedStart *start; /* of a start */
+  Cb__TaskPace *pace;      /* of a pace */
   call_state_t state;
   gboolean tried;       /* a call was sent at least once */
   uint64_t answered_at; /* number of the newest hold when the answer came */
@@ -90,32 +108,20 @@
 
       if (order->answered_at >= hold_number || in_lists (report, order->run))
         continue;
-      if (order->is_stop && order->state == TASK_ANSWERED)
+      if (order->kind == ORDER_STOP && order->state == TASK_ANSWERED)
         cb_msg_append ((void ***)&report->absent, &report->n_absent,
                        cb_msg_copy (&order->run->base));
-      else if (order->start != NULL && order->state == TASK_REFUSED)
+      else if (order->kind == ORDER_START && order->state == TASK_REFUSED)
         cb_msg_append ((void ***)&report->rejected, &report->n_rejected,
                        cb_msg_copy (&order->run->base));
     }
 }
 
-static const char *
-order_word (const order_t *order)
-{
-  if (order->is_stop)
-    return "stop";
-  return order->start != NULL ? "start" : "pace";
-}
-
 static void
 log_failure (const order_t *order, int err, const char *reason)
 {
   const Cb__TaskRun *run = order->run;
-  const char *event = order->is_stop         ? "stop_failed"
-                      : order->start != NULL ? "start_failed"
-                                             : "pace_failed";
-
-  cb_event_always (CB_LOG_WARN, "agent", event,
+  cb_event_always (CB_LOG_WARN, "agent", kinds[order->kind].failed,
                    "job=%s task=%u.%u.%u run=%u err=%d reason=%s", run->job,
                    run->occurrence, run->step, run->index, run->run, err,
                    reason == NULL ? "" : reason);
@@ -133,14 +139,14 @@
       free_order (order);
       return;
     }
-  cb_batch_agent_count (agent, order_word (order), err,
+  cb_batch_agent_count (agent, kinds[order->kind].word, err,
                         cb_batch_now () - order->sent_ms);
   order->answered_at = agent->hold_number;
   order->retry_ms = cb_batch_now () + CB_AGENT_RETRY_MS;
   if (err == CB_OK)
     order->state = TASK_ANSWERED;
   else if (err == CB_PLATFORM_REJECTED)
-    order->state = order->start == NULL ? TASK_ANSWERED : TASK_REFUSED;
+    order->state = order->kind == ORDER_START ? TASK_REFUSED : TASK_ANSWERED;
   else if (err == CB_PLATFORM_FENCED)
     agent->fenced_epoch = MAX (agent->fenced_epoch, agent->epoch);
   if (err < 0)
@@ -154,7 +160,7 @@
 {
   cb_worker_target_t target = cb_batch_agent_target (agent);
 
-  if (order->start != NULL && agent->report->draining)
+  if (order->kind == ORDER_START && agent->report->draining)
     {
       if (!order->tried)
         {
@@ -170,9 +176,9 @@
   order->state = TASK_SENT;
   order->tried = TRUE;
   order->sent_ms = cb_batch_now ();
-  if (order->is_stop)
+  if (order->kind == ORDER_STOP)
     cb_worker_stop (agent->loop, &target, order->run, on_ordered, order);
-  else if (order->pace != NULL)
+  else if (order->kind == ORDER_PACE)
     cb_worker_pace (agent->loop, &target, order->pace, on_ordered, order);
   else
     cb_worker_start (agent->loop, &target, order->start, on_ordered, order);
@@ -194,19 +200,20 @@
       order_t *order = value;
 
       if (order->state == TASK_OPEN && now_ms >= order->retry_ms &&
-          (order->start == NULL || agent->lease_until_ms > 0))
+          (order->kind != ORDER_START || agent->lease_until_ms > 0))
         send_order (agent, order);
     }
 }
 
-/* Adds an order, PREFIX says of what, unless the agent has it. Returns the new one, or
-   NULL. */
+/* Adds an order unless the agent has it; PERCENT tells one pace from another. Returns
+   the new order, or NULL. */
 static order_t *
-add_order (cb_batch_agent_t *agent, GHashTable *wanted, const char *prefix,
-           const Cb__TaskRun *run)
+add_order (cb_batch_agent_t *agent, GHashTable *wanted, order_kind_t kind,
+           const Cb__TaskRun *run, uint32_t percent)
 {
-  char *key = g_strdup_printf ("%s %s.%u.%u.%u.%u", prefix, run->job, run->occurrence,
-                               run->step, run->index, run->run);
+  char *key =
+      g_strdup_printf ("%s %u %s.%u.%u.%u.%u", kinds[kind].word, percent, run->job,
+                       run->occurrence, run->step, run->index, run->run);
   order_t *order = g_hash_table_lookup (agent->orders, key);
 
   g_hash_table_add (wanted, g_strdup (key));
@@ -218,6 +225,7 @@
   order = g_new0 (order_t, 1);
   order->agent = agent;
   order->key = key;
+  order->kind = kind;
   order->run = (Cb__TaskRun *)cb_msg_copy (&run->base);
   g_hash_table_insert (agent->orders, order->key, order);
   return order;
@@ -226,31 +234,19 @@
 static void
 add_start (cb_batch_agent_t *agent, GHashTable *wanted, const Cb__OrderedStart *start)
 {
-  order_t *order = add_order (agent, wanted, "start", start->run);
+  order_t *order = add_order (agent, wanted, ORDER_START, start->run, 0);
 
   if (order != NULL)
     order->start = (Cb__OrderedStart *)cb_msg_copy (&start->base);
 }
 
-static void
-add_stop (cb_batch_agent_t *agent, GHashTable *wanted, const Cb__TaskRun *run)
-{
-  order_t *order = add_order (agent, wanted, "stop", run);
-
-  if (order != NULL)
-    order->is_stop = TRUE;
-}
-
-/* A pace with another share is another order. */
 static void
 add_pace (cb_batch_agent_t *agent, GHashTable *wanted, const Cb__TaskPace *pace)
 {
-  char *prefix = g_strdup_printf ("pace %u", pace->percent);
-  order_t *order = add_order (agent, wanted, prefix, pace->run);
+  order_t *order = add_order (agent, wanted, ORDER_PACE, pace->run, pace->percent);
 
   if (order != NULL)
     order->pace = (Cb__TaskPace *)cb_msg_copy (&pace->base);
-  g_free (prefix);
 }
 
 static gboolean
@@ -280,7 +276,7 @@
   for (size_t i = 0; i < orders->n_starts; i++)
     add_start (agent, wanted, orders->starts[i]);
   for (size_t i = 0; i < orders->n_stops; i++)
-    add_stop (agent, wanted, orders->stops[i]);
+    add_order (agent, wanted, ORDER_STOP, orders->stops[i], 0);
   for (size_t i = 0; i < orders->n_paces; i++)
     add_pace (agent, wanted, orders->paces[i]);
   g_hash_table_foreach_remove (agent->orders, is_unwanted, wanted);
--- a/cmd/explain.c
+++ b/cmd/explain.c
@@ -221,36 +221,42 @@
   g_free (reason);
 }
 
+/* Prints what a line says of one run, and CAUSE unless it is NULL. */
 static void
-explain_stop (const line_t *line)
+print_run (const line_t *line, const char *what, const char *cause)
 {
-  char *why = field_of (line, "why");
   char *task = field_of (line, "task");
   char *run = field_of (line, "run");
+  char *worker = field_of (line, "worker");
 
-  printf ("run %s of task %s was told to stop; cause: %s\n", run, task, why);
-  g_free (why);
+  printf ("run %s of task %s on %s %s%s%s\n", run, task, worker, what,
+          cause == NULL ? "" : "; cause: ", cause == NULL ? "" : cause);
   g_free (task);
   g_free (run);
+  g_free (worker);
+}
+
+static void
+explain_stop (const line_t *line)
+{
+  char *why = field_of (line, "why");
+
+  print_run (line, "was told to stop", why);
+  g_free (why);
 }
 
 static void
 explain_end (const line_t *line)
 {
   char *how = field_of (line, "how");
-  char *task = field_of (line, "task");
-  char *run = field_of (line, "run");
-  char *worker = field_of (line, "worker");
+  char *what = g_strdup_printf ("ended as %s", how);
 
-  if (g_strcmp0 (how, "run_done") != 0 && g_strcmp0 (how, "run_stopped") != 0)
-    printf ("run %s of task %s on %s ended as %s%s\n", run, task, worker, how,
-            g_strcmp0 (how, "run_lost") == 0
-                ? "; cause: its worker ended, was replaced or did not answer"
-                : "");
+  if (g_strcmp0 (how, "run_lost") == 0)
+    print_run (line, what, "its worker ended, was replaced or did not answer");
+  else if (g_strcmp0 (how, "run_done") != 0 && g_strcmp0 (how, "run_stopped") != 0)
+    print_run (line, what, NULL);
+  g_free (what);
   g_free (how);
-  g_free (task);
-  g_free (run);
-  g_free (worker);
 }
 
 /* Says for the time up to the first run what kept the job waiting. */
--- a/fakes/advisor.c
+++ b/fakes/advisor.c
@@ -1,7 +1,6 @@
 /* carobrun-fake-advisor: the service that says which workers may run a step, as
    platform/advisor.c speaks to it. It allows the worker that --allow names, with a
    ticket that carobrun-fake-runner --tickets checks. */
-#include <argp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -74,15 +73,15 @@
 
   switch (key)
     {
-    case 'l':
-      a->params.listen = arg;
+    case ARGP_KEY_INIT:
+      state->child_inputs[0] = &a->params;
       return 0;
     case 'a':
       a->advisor->allowed = arg;
       return 0;
     case ARGP_KEY_END:
-      if (a->params.listen == NULL || a->advisor->allowed == NULL)
-        argp_error (state, "--listen and --allow are needed");
+      if (a->advisor->allowed == NULL)
+        argp_error (state, "--allow is missing");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -93,12 +92,13 @@
 main (int argc, char **argv)
 {
   static const struct argp_option options[] = {
-    { "listen", 'l', "ADDRESS", 0, "host:port", 0 },
     { "allow", 'a', "WORKER", 0, "the only worker that may run steps", 0 },
     { 0 },
   };
+  static const struct argp_child children[] = { { &cb_fake_argp, 0, NULL, 0 }, { 0 } };
   static const struct argp argp = { .options = options,
                                     .parser = parse,
+                                    .children = children,
                                     .doc = "Stand-in for the platform's advisor." };
   advisor_t advisor = { .allowed = NULL };
   arguments_t arguments = { .advisor = &advisor,
--- a/fakes/endpoint.c
+++ b/fakes/endpoint.c
@@ -1,4 +1,3 @@
-#include <argp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -237,8 +236,8 @@
 
   switch (key)
     {
-    case 'l':
-      self->params.listen = arg;
+    case ARGP_KEY_INIT:
+      state->child_inputs[0] = &self->params;
       break;
     case 'a':
       self->agent = arg;
@@ -262,9 +261,6 @@
     case 'r':
       g_rand_set_seed (self->rand, (guint32)strtoul (arg, NULL, 10));
       break;
-    case 't':
-      self->params.trace_file = arg;
-      break;
     default:
       return ARGP_ERR_UNKNOWN;
     }
@@ -275,7 +271,6 @@
 main (int argc, char **argv)
 {
   static const struct argp_option options[] = {
-    { "listen", 'l', "H:P", 0, "address to listen on", 0 },
     { "agent", 'a', "H:P", 0, "HTTP address of the agent", 0 },
     { "name", 'n', "N", 0, "name of the endpoint", 0 },
     { "kinds", 'k', "A,B", 0, "request kinds that it answers", 0 },
@@ -283,11 +278,12 @@
     { "connections", 'c', "N", 0, "announced connections (60)", 0 },
     { "work-ms", 'w', "MIN,MAX", 0, "time for a request (5,20)", 0 },
     { "seed", 'r', "N", 0, "seed of the work times (1)", 0 },
-    { "trace", 't', "FILE", 0, "event trace", 0 },
     { 0 },
   };
+  static const struct argp_child children[] = { { &cb_fake_argp, 0, NULL, 0 }, { 0 } };
   static const struct argp argp = { .options = options,
                                     .parser = parse,
+                                    .children = children,
                                     .doc = "Stand-in for an endpoint." };
   endpoint_t self = { .params = { .listen = "127.0.0.1:19480",
                                   .name = "endpoint",
--- a/fakes/lib/fake.c
+++ b/fakes/lib/fake.c
@@ -5,6 +5,37 @@
 
 #include <xxhash.h>
 
+static error_t
+parse (int key, char *arg, struct argp_state *state)
+{
+  cb_fake_params_t *params = state->input;
+
+  switch (key)
+    {
+    case 'l':
+      params->listen = arg;
+      return 0;
+    case 't':
+      params->trace_file = arg;
+      return 0;
+    case ARGP_KEY_END:
+      if (params->listen == NULL)
+        argp_error (state, "--listen is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp_option common_options[] = {
+  { "listen", 'l', "ADDRESS", 0, "host:port to listen on", 0 },
+  { "trace", 't', "FILE", 0, "event trace", 0 },
+  { 0 },
+};
+
+/* Options of all stand-ins, as a child of their own; its input is cb_fake_params_t. */
+const struct argp cb_fake_argp = { .options = common_options, .parser = parse };
+
 /* Opens the loop, server and trace, and writes `start`. Returns an error of net/. */
 int
 cb_fake_open (cb_fake_t *fake, const cb_fake_params_t *params)
--- a/fakes/lib/fake.h
+++ b/fakes/lib/fake.h
@@ -3,6 +3,7 @@
 #ifndef CB_FAKES_FAKE_H
 #define CB_FAKES_FAKE_H
 
+#include <argp.h>
 #include <jansson.h>
 
 #include "net/fns.h"
@@ -28,6 +29,7 @@
   void *ctx;
 } cb_fake_params_t;
 
+extern const struct argp cb_fake_argp;
 int cb_fake_open (cb_fake_t *fake, const cb_fake_params_t *params);
 void cb_fake_run (cb_fake_t *fake);
 void cb_fake_event (const cb_fake_t *fake, const char *event, const char *fmt, ...)
--- a/fakes/mainframe.c
+++ b/fakes/mainframe.c
@@ -1,4 +1,3 @@
-#include <argp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,21 +9,6 @@
   cb_fake_params_t params;
 } mainframe_t;
 
-static error_t
-parse (int key, char *arg, /* NOLINT(readability-non-const-parameter) */
-       struct argp_state *state)
-{
-  mainframe_t *self = state->input;
-
-  if (key == 'l')
-    self->params.listen = arg;
-  else if (key == 't')
-    self->params.trace_file = arg;
-  else
-    return ARGP_ERR_UNKNOWN;
-  return 0;
-}
-
 static const char *
 header (cb_http_req_t *req, const char *name)
 {
@@ -96,13 +80,8 @@
 int
 main (int argc, char **argv)
 {
-  static const struct argp_option options[] = {
-    { "listen", 'l', "H:P", 0, "address to listen on", 0 },
-    { "trace", 't', "FILE", 0, "event trace", 0 },
-    { 0 },
-  };
-  static const struct argp argp = { .options = options,
-                                    .parser = parse,
+  static const struct argp_child children[] = { { &cb_fake_argp, 0, NULL, 0 }, { 0 } };
+  static const struct argp argp = { .children = children,
                                     .doc = "Stand-in for the mainframe." };
   mainframe_t self = { .params = { .listen = "127.0.0.1:19490",
                                    .name = "mainframe",
@@ -111,7 +90,7 @@
                                    .on_signal = on_signal } };
 
   self.params.ctx = &self;
-  if (argp_parse (&argp, argc, argv, 0, NULL, &self) != 0 ||
+  if (argp_parse (&argp, argc, argv, 0, NULL, &self.params) != 0 ||
       cb_fake_open (&self.fake, &self.params) < 0)
     return EXIT_FAILURE;
   cb_fake_run (&self.fake);
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -4,7 +4,6 @@
    `run_start` and `run_end` for each task, and `end_seen` for an end that was
    acknowledged while the lease had not lapsed since. SIGTERM: it says that it drains,
    then that it leaves, and ends. */
-#include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -417,9 +416,8 @@
 
   switch (key)
     {
-    case 'l':
-      a->runner->listen = arg;
-      a->params.listen = arg;
+    case ARGP_KEY_INIT:
+      state->child_inputs[0] = &a->params;
       return 0;
     case 'a':
       a->runner->agent = arg;
@@ -434,13 +432,9 @@
     case 'k':
       a->runner->tickets = TRUE;
       return 0;
-    case 't':
-      a->params.trace_file = arg;
-      return 0;
     case ARGP_KEY_END:
-      if (a->runner->listen == NULL || a->runner->agent == NULL ||
-          a->runner->id == NULL)
-        argp_error (state, "--listen, --agent and --id are needed");
+      if (a->runner->agent == NULL || a->runner->id == NULL)
+        argp_error (state, "--agent and --id are needed");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -451,16 +445,16 @@
 main (int argc, char **argv)
 {
   static const struct argp_option options[] = {
-    { "listen", 'l', "ADDRESS", 0, "host:port", 0 },
     { "agent", 'a', "ADDRESS", 0, "control address of the agent", 0 },
     { "id", 'i', "NAME", 0, "of the worker", 0 },
     { "rack", 'r', "NAME", 0, "default r1", 0 },
     { "tickets", 'k', NULL, 0, "starts need a ticket of the advisor", 0 },
-    { "trace", 't', "FILE", 0, "event trace", 0 },
     { 0 },
   };
+  static const struct argp_child children[] = { { &cb_fake_argp, 0, NULL, 0 }, { 0 } };
   static const struct argp argp = { .options = options,
                                     .parser = parse,
+                                    .children = children,
                                     .doc = "Stand-in for a worker of the platform." };
   runner_t r = { .service = "svc", .rack = "r1", .accelerators = 8 };
   arguments_t arguments = { .runner = &r,
@@ -473,6 +467,7 @@
   if (argp_parse (&argp, argc, argv, 0, NULL, &arguments) != 0 ||
       cb_fake_open (&r.fake, &arguments.params) < 0)
     return 2;
+  r.listen = arguments.params.listen;
   r.born_ms = cb_clock_wall (cb_clock_system ());
   r.highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&r.runs);
--- a/fakes/store.c
+++ b/fakes/store.c
@@ -1,9 +1,8 @@
 /* carobrun-fake-store: the log of the users' platform in memory, as platform/store.c
    speaks to it. `POST /control {"mode":M,"count":N}` makes it fail: `busy` refuses all
-   calls, `silent` answers none, `lose` stores appends without an answer, `slow` takes
-   SLOW_MS for each call and does one append of a topic at a time, `ok` ends it. The
-   mode applies N times, always without N. */
-#include <argp.h>
+   calls, `silent` answers none, `deaf` none of the appends, `lose` stores appends
+   without an answer, `slow` takes SLOW_MS for each call and does one append of a topic
+   at a time, `ok` ends it. The mode applies N times, always without N. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -99,6 +98,12 @@
   const uint8_t *body = (const uint8_t *)cb_http_body (req, &len);
   uint64_t first = topic->records->len;
 
+  if (cb_fake_take (&store->fake, "deaf"))
+    {
+      cb_http_drop (req);
+      return;
+    }
+
   for (size_t at = 0; at + LENGTH_BYTES <= len;)
     {
       size_t size = (size_t)body[at] << 24 | (size_t)body[at + 1] << 16 |
@@ -290,32 +295,11 @@
   cb_loop_stop (((store_t *)ctx)->fake.loop);
 }
 
-static error_t
-parse (int key, char *arg, struct argp_state *state)
-{
-  cb_fake_params_t *params = state->input;
-
-  if (key == 'l')
-    params->listen = arg;
-  else if (key == 't')
-    params->trace_file = arg;
-  else if (key == ARGP_KEY_END && params->listen == NULL)
-    argp_error (state, "--listen is missing");
-  else
-    return key == ARGP_KEY_END ? 0 : ARGP_ERR_UNKNOWN;
-  return 0;
-}
-
 int
 main (int argc, char **argv)
 {
-  static const struct argp_option options[] = {
-    { "listen", 'l', "ADDRESS", 0, "host:port", 0 },
-    { "trace", 't', "FILE", 0, "event trace", 0 },
-    { 0 },
-  };
-  static const struct argp argp = { .options = options,
-                                    .parser = parse,
+  static const struct argp_child children[] = { { &cb_fake_argp, 0, NULL, 0 }, { 0 } };
+  static const struct argp argp = { .children = children,
                                     .doc = "Stand-in for the platform's store." };
   store_t store = { .topics = g_hash_table_new (g_str_hash, g_str_equal) };
   cb_fake_params_t params = { .name = "store",
--- a/fakes/worker.c
+++ b/fakes/worker.c
@@ -1,4 +1,3 @@
-#include <argp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -295,14 +294,12 @@
 {
   worker_t *self = state->input;
 
-  if (key == 'l')
-    self->params.listen = arg;
+  if (key == ARGP_KEY_INIT)
+    state->child_inputs[0] = &self->params;
   else if (key == 'n')
     self->params.name = arg;
   else if (key == 'r')
     self->run_ms = g_ascii_strtoll (arg, NULL, 10);
-  else if (key == 't')
-    self->params.trace_file = arg;
   else
     return ARGP_ERR_UNKNOWN;
   return 0;
@@ -312,15 +309,15 @@
 main (int argc, char **argv)
 {
   static const struct argp_option options[] = {
-    { "listen", 'l', "H:P", 0, "address to listen on", 0 },
     { "name", 'n', "N", 0, "name of the worker", 0 },
     { "run-ms", 'r', "MS", 0, "run time without a command (1000)", 0 },
-    { "trace", 't', "FILE", 0, "event trace", 0 },
     { 0 },
   };
+  static const struct argp_child children[] = { { &cb_fake_argp, 0, NULL, 0 }, { 0 } };
   static const struct argp argp = {
     .options = options,
     .parser = parse,
+    .children = children,
     .doc = "Stand-in for a worker. POST /control takes the "
            "modes ok, fail_starts, stall and lose_answers."
   };
--- a/test/batch_advice_test.cc
+++ b/test/batch_advice_test.cc
@@ -13,7 +13,7 @@
   site.SubmitAndRun ("j", 0, { { 1, 8 } }, 5000, 400);
   EXPECT_EQ (site.workers[2]->running.size (), 1u);
   EXPECT_EQ (site.refused_tickets, 0);
-  EXPECT_EQ (site.questions, 1);
+  EXPECT_EQ (site.advisor.questions, 1);
 }
 
 // A queue without an advisor asks nothing.
@@ -22,10 +22,10 @@
   BatchSite site (2, 2);
 
   site.Advised (0, {}, 5000);
-  site.ticket_ms = 0;
+  site.advisor.ticket_ms = 0;
   site.SubmitAndRun ("j", 1, { { 1, 8 } }, 5000, 400);
   EXPECT_EQ (site.Running ("j"), 1);
-  EXPECT_EQ (site.questions, 0);
+  EXPECT_EQ (site.advisor.questions, 0);
 }
 
 TEST (BatchAdvice, GangTakesARackThatIsAllowed)
@@ -58,7 +58,7 @@
   site.SubmitAndRun ("j", 2, { { 1, 8 } }, 3000, 3500);
   EXPECT_EQ (site.Running ("j"), 1);
   EXPECT_EQ (site.refused_tickets, 0);
-  EXPECT_EQ (site.questions, 2);
+  EXPECT_EQ (site.advisor.questions, 2);
 }
 
 TEST (BatchAdvice, NextLifeOfAWorkerNeedsATicketOfItsOwn)
@@ -68,7 +68,7 @@
   site.Advised (0, { "w0" }, 60000);
   site.SubmitAndRun ("j", 0, { { 1, 8 } }, 4000, 500);
   EXPECT_EQ (site.Running ("j"), 1);
-  site.Crash (*site.workers[0]);
+  site.workers[0]->Crash ();
   site.Advance (1500);
   EXPECT_EQ (site.Running ("j"), 1);
   EXPECT_EQ (site.refused_tickets, 0);
@@ -96,7 +96,7 @@
   site.Advised (0, { "w68", "w69" }, 5000);
   site.SubmitAndRun ("j", 0, { { 2, 8 } }, 5000, 1000);
   EXPECT_EQ (site.Running ("j"), 2);
-  EXPECT_LE (site.questions, 3);
+  EXPECT_LE (site.advisor.questions, 3);
 }
 
 // Guaranteed work takes back lent accelerators of the workers it may use, in time.
@@ -107,7 +107,7 @@
   site.SubmitAndRun ("lent", 0, { { 16, 1 } }, 60000, 400, "other");
   ASSERT_EQ (site.Running ("lent"), 16);
   site.Advised (0, { "w1" }, 5000);
-  site.ticket_ms = 0;
+  site.advisor.ticket_ms = 0;
   site.length_ms["own"] = 5000;
   cb_msec_t accepted = site.now;
   site.Submit ("own", 0, { { 1, 8 } }, "owner");
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -13,50 +13,8 @@
 #include <vector>
 
 #include "batch/fns.h"
-
-struct Run
-{
-  std::string task;
-  uint32_t run = 0;
-  cb_msec_t ends_ms = 0;
-  cb_msec_t began_ms = 0;
-  Cb__BatchStep step = CB__BATCH_STEP__INIT;
-  uint32_t pace = 100;
-};
-
-struct End
-{
-  uint64_t number;
-  std::string task;
-  uint32_t run;
-  Cb__RunEnd how;
-  std::string saved;
-};
-
-struct Worker
-{
-  std::string id;
-  std::string agent;
-  std::string rack;
-  uint64_t born_ms = 1;
-  uint32_t cpu_milli = 64000;
-  uint32_t accelerators = 8;
-  bool up = true;      // its process runs
-  bool reached = true; // its agent reaches the scheduler
-  bool draining = false;
-  bool rejects = false; // starts
-  bool stuck = false;   // tasks make no progress
-  bool mute = false;    // it reports none, though they do
-  uint64_t lease_ms = 0;
-  uint32_t latency_ms = 0;  // of serving tasks, without others
-  uint32_t disturb_ms = 60; // more for each task that fills at full pace
-  std::map<std::string, Run> running;
-  std::vector<End> ended;
-  uint64_t ends = 0;
-  std::map<std::string, uint32_t> highest; // run that was stopped or ended
-  std::set<std::string> rejected;          // task/run
-  std::set<std::string> absent;
-};
+#include "test/batch_advisor.h"
+#include "test/batch_worker.h"
 
 struct StepSpec
 {
@@ -73,6 +31,30 @@
   bool lasts = false;
   uint32_t max_unavailable = 0;
   bool fills = false;
+
+  Cb__BatchStep *
+  NewStep () const
+  {
+    auto *step = NewMessage<Cb__BatchStep> (&cb__batch_step__descriptor);
+
+    step->count = count;
+    step->accelerators = accelerators;
+    step->cpu_milli = cpu_milli;
+    step->gang = gang;
+    step->same_rack = same_rack;
+    step->saves = saves;
+    step->per_worker_max = per_worker_max;
+    step->estimate_ms = estimate_ms;
+    step->target_ms = target_ms;
+    step->max_unavailable = max_unavailable;
+    step->daemon = lasts || target_ms > 0;
+    step->fills = fills;
+    step->n_after = after.size ();
+    if (!after.empty ())
+      step->after = static_cast<uint32_t *> (calloc (after.size (), sizeof (uint32_t)));
+    std::copy (after.begin (), after.end (), step->after);
+    return step;
+  }
 };
 
 class BatchSite
@@ -93,13 +75,11 @@
   std::vector<std::string> violations;
   uint64_t epoch = 0;
   bool keep_log = false;
-  std::string queue;             // of the next jobs; empty: by priority
-  uint32_t times = 0;            // occurrences of the next jobs, from now on
-  cb_msec_t interval_ms = 0;     // between them
-  bool log_away = false;         // records of the scheduler wait
-  std::set<std::string> allowed; // workers that the advisor allows
-  cb_msec_t ticket_ms = 0;       // validity; 0: workers ask for no ticket
-  int questions = 0;
+  std::string queue;         // of the next jobs; empty: by priority
+  uint32_t times = 0;        // occurrences of the next jobs, from now on
+  cb_msec_t interval_ms = 0; // between them
+  bool log_away = false;     // records of the scheduler wait
+  Advisor advisor;
   int refused_tickets = 0;
   std::vector<std::vector<uint8_t> > log;
 
@@ -121,7 +101,6 @@
   }
   ~BatchSite ()
   {
-    cb_batch_question_free (question_);
     cb_batch_free (lead);
     cb_batch_free (follower);
     cb_batch_config_unref (config);
@@ -144,8 +123,7 @@
   static Cb__BatchRecord *
   NewRecord (Cb__BatchRecord__BodyCase body)
   {
-    auto *record =
-        static_cast<Cb__BatchRecord *> (cb_msg_new (&cb__batch_record__descriptor));
+    auto *record = NewMessage<Cb__BatchRecord> (&cb__batch_record__descriptor);
     record->body_case = body;
     return record;
   }
@@ -154,8 +132,7 @@
   Claim (cb_batch_t *scheduler)
   {
     Cb__BatchRecord *record = NewRecord (CB__BATCH_RECORD__BODY_CLAIM);
-    record->claim =
-        static_cast<Cb__BatchClaim *> (cb_msg_new (&cb__batch_claim__descriptor));
+    record->claim = NewMessage<Cb__BatchClaim> (&cb__batch_claim__descriptor);
     cb_msg_set_string (&record->claim->entry, scheduler == lead ? "lead" : "follower");
     record->claim->replaces_epoch = epoch;
     Append (record);
@@ -168,7 +145,7 @@
           const std::string &account = "acc", uint32_t attempts = 3)
   {
     Cb__BatchRecord *record = NewRecord (CB__BATCH_RECORD__BODY_SUBMIT);
-    auto *job = static_cast<Cb__BatchJob *> (cb_msg_new (&cb__batch_job__descriptor));
+    auto *job = NewMessage<Cb__BatchJob> (&cb__batch_job__descriptor);
     cb_msg_set_string (&job->id, id.c_str ());
     cb_msg_set_string (&job->queue, queue.empty ()
                                         ? ("q" + std::to_string (priority)).c_str ()
@@ -183,28 +160,8 @@
     job->start_at_ms = static_cast<uint64_t> (now);
     job->interval_ms = static_cast<uint64_t> (interval_ms);
     for (const StepSpec &s : steps)
-      {
-        auto *step =
-            static_cast<Cb__BatchStep *> (cb_msg_new (&cb__batch_step__descriptor));
-        step->count = s.count;
-        step->accelerators = s.accelerators;
-        step->cpu_milli = s.cpu_milli;
-        step->gang = s.gang;
-        step->same_rack = s.same_rack;
-        step->saves = s.saves;
-        step->per_worker_max = s.per_worker_max;
-        step->estimate_ms = s.estimate_ms;
-        step->target_ms = s.target_ms;
-        step->max_unavailable = s.max_unavailable;
-        step->daemon = s.lasts || s.target_ms > 0;
-        step->fills = s.fills;
-        step->n_after = s.after.size ();
-        if (!s.after.empty ())
-          step->after = static_cast<uint32_t *> (calloc (s.after.size (), 4));
-        for (size_t i = 0; i < s.after.size (); i++)
-          step->after[i] = s.after[i];
-        cb_msg_append (reinterpret_cast<void ***> (&job->steps), &job->n_steps, step);
-      }
+      cb_msg_append (reinterpret_cast<void ***> (&job->steps), &job->n_steps,
+                     s.NewStep ());
     record->submit = job;
     Append (record);
   }
@@ -230,8 +187,7 @@
   Cancel (const std::string &id)
   {
     Cb__BatchRecord *record = NewRecord (CB__BATCH_RECORD__BODY_CANCEL);
-    record->cancel =
-        static_cast<Cb__BatchCancel *> (cb_msg_new (&cb__batch_cancel__descriptor));
+    record->cancel = NewMessage<Cb__BatchCancel> (&cb__batch_cancel__descriptor);
     cb_msg_set_string (&record->cancel->job, id.c_str ());
     Append (record);
   }
@@ -254,7 +210,7 @@
             Report (*w);
         cb_batch_tick (active, now, now);
         Drain ();
-        Advise ();
+        advisor.Answer (active, now);
         for (auto &w : workers)
           if (w->reached && w->up &&
               cb_batch_orders_changed (active, w->agent.c_str ()))
@@ -286,83 +242,28 @@
   {
     if (!w.up || !w.reached)
       return;
-    auto *report =
-        static_cast<Cb__WorkerReport *> (cb_msg_new (&cb__worker_report__descriptor));
-    cb_msg_set_string (&report->worker, w.id.c_str ());
-    report->born_ms = w.born_ms;
-    cb_msg_set_string (&report->service, "svc");
-    report->draining = w.draining;
-    report->drain_left_ms = 2000;
-    report->cpu_milli = w.cpu_milli;
-    report->memory_mb = 131072;
-    report->accelerators = w.accelerators;
-    for (const std::string &label : { std::string ("a"), w.rack })
-      cb_msg_append (reinterpret_cast<void ***> (&report->labels), &report->n_labels,
-                     strdup (label.c_str ()));
-    report->clock_ms = static_cast<uint64_t> (now);
-    for (const auto &r : w.running)
-      {
-        auto *row =
-            static_cast<Cb__RunningTask *> (cb_msg_new (&cb__running_task__descriptor));
-        row->run = TaskRun (r.second.task, r.second.run);
-        row->percent =
-            w.mute ? 50
-                   : static_cast<uint32_t> (
-                         100 * (now - r.second.began_ms) /
-                         std::max<cb_msec_t> (1, r.second.ends_ms - r.second.began_ms));
-        if (r.second.step.daemon)
-          row->percent = 100; // it is at work
-        row->usage = Latency (w);
-        cb_msg_append (reinterpret_cast<void ***> (&report->running),
-                       &report->n_running, row);
-      }
-    for (const End &e : w.ended)
-      {
-        auto *row =
-            static_cast<Cb__EndedTask *> (cb_msg_new (&cb__ended_task__descriptor));
-        row->number = e.number;
-        row->run = TaskRun (e.task, e.run);
-        row->how = e.how;
-        cb_msg_set_string (&row->saved, e.saved.c_str ());
-        cb_msg_append (reinterpret_cast<void ***> (&report->ended), &report->n_ended,
-                       row);
-      }
-    for (const std::string &key : w.rejected)
-      AddRun (&report->rejected, &report->n_rejected, key);
-    for (const std::string &key : w.absent)
-      AddRun (&report->absent, &report->n_absent, key);
+    auto *report = w.NewReport (now);
     cb_batch_report (active, w.agent.c_str (), report, now);
     cb_batch_tick (active, now, now); // as the entry does, before it sends orders
     last_report[w.id] = std::shared_ptr<Cb__WorkerReport> (report, cb_msg_free);
     Drain ();
     Obey (w);
   }
-  // Response time in ms of the tasks that serve on W.
-  static uint32_t
-  Latency (const Worker &w)
-  {
-    uint32_t latency_ms = w.latency_ms;
-
-    for (const auto &r : w.running)
-      if (r.second.step.fills)
-        latency_ms += w.disturb_ms * r.second.pace / 100;
-    return latency_ms;
-  }
   // Makes the queue of PRIORITY ask the advisor, whose tickets are good for
   // VALIDITY_MS.
   void
-  Advised (uint32_t priority, std::set<std::string> workers, cb_msec_t validity_ms)
+  Advised (uint32_t priority, std::set<std::string> allowed, cb_msec_t validity_ms)
   {
-    cb_batch_queue_t *queue =
+    cb_batch_queue_t *advised =
         cb_batch_config_add_queue (config, ("q" + std::to_string (priority)).c_str ());
 
-    queue->advised = TRUE;
-    queue->decide_ms = 30;
-    queue->decide_each_ms = 2;
-    queue->validity_ms = validity_ms;
+    advised->advised = TRUE;
+    advised->decide_ms = 30;
+    advised->decide_each_ms = 2;
+    advised->validity_ms = validity_ms;
     config->advised = TRUE;
-    allowed = std::move (workers);
-    ticket_ms = validity_ms;
+    advisor.allowed = std::move (allowed);
+    advisor.ticket_ms = validity_ms;
   }
   // The scheduler gets the worker's latest report once more.
   void
@@ -383,96 +284,11 @@
     w.lease_ms = static_cast<uint64_t> (now + params.hold_max_ms);
     w.running[task] = run;
   }
-  void
-  Crash (Worker &w)
-  {
-    w.running.clear ();
-    w.ended.clear ();
-    w.highest.clear ();
-    w.rejected.clear ();
-    w.absent.clear ();
-    w.ends = 0;
-    w.lease_ms = 0;
-    w.born_ms++;
-  }
 
 private:
   cb_batch_t *active = nullptr;
-  cb_batch_question_t *question_ = nullptr;
-  cb_msec_t asked_ms_ = 0;
-
-  // One question at a time, each takes its time.
-  void
-  Advise ()
-  {
-    if (question_ == nullptr)
-      {
-        question_ = cb_batch_take_question (active);
-        asked_ms_ = now;
-        questions += question_ != nullptr;
-      }
-    if (question_ == nullptr || now < asked_ms_ + question_->takes_ms)
-      return;
-    std::vector<std::string> tickets;
-    std::vector<cb_batch_permit_t> permits;
-    for (guint i = 0; i < question_->asked->len; i++)
-      {
-        auto *asked = static_cast<cb_batch_asked_t *> (question_->asked->pdata[i]);
-        if (allowed.count (asked->worker))
-          tickets.push_back (Ticket (asked->worker, asked->born_ms, now));
-        else
-          tickets.push_back ("");
-      }
-    for (guint i = 0; i < question_->asked->len; i++)
-      if (!tickets[i].empty ())
-        permits.push_back (
-            { static_cast<cb_batch_asked_t *> (question_->asked->pdata[i])->worker,
-              tickets[i].c_str () });
-    cb_batch_permit (active, question_, permits.data (), permits.size (), asked_ms_);
-    cb_batch_question_free (question_);
-    question_ = nullptr;
-  }
-  static std::string
-  Ticket (const std::string &worker, uint64_t born_ms, cb_msec_t at_ms)
-  {
-    return worker + "/" + std::to_string (born_ms) + "/" + std::to_string (at_ms);
-  }
-  bool
-  TicketIsGood (const Worker &w, const std::string &ticket) const
-  {
-    std::string life = w.id + "/" + std::to_string (w.born_ms) + "/";
-
-    return ticket.rfind (life, 0) == 0 &&
-           now <= std::stoll (ticket.substr (life.size ())) + ticket_ms;
-  }
   std::map<std::string, std::shared_ptr<Cb__WorkerReport> > last_report;
 
-  static Cb__TaskRun *
-  TaskRun (const std::string &task, uint32_t number)
-  {
-    auto *run = static_cast<Cb__TaskRun *> (cb_msg_new (&cb__task_run__descriptor));
-    char job[64];
-
-    sscanf (task.c_str (), "%63[^.].%u.%u.%u", job, &run->occurrence, &run->step,
-            &run->index);
-    cb_msg_set_string (&run->job, job);
-    run->run = number;
-    return run;
-  }
-  static void
-  AddRun (Cb__TaskRun ***runs, size_t *count, const std::string &key)
-  {
-    size_t slash = key.find ('/');
-    cb_msg_append (reinterpret_cast<void ***> (runs), count,
-                   TaskRun (key.substr (0, slash), static_cast<uint32_t> (std::stoul (
-                                                       key.substr (slash + 1)))));
-  }
-  static std::string
-  Name (const Cb__TaskRun *run)
-  {
-    return std::string (run->job) + "." + std::to_string (run->occurrence) + "." +
-           std::to_string (run->step) + "." + std::to_string (run->index);
-  }
   void
   Finish (Worker &w, std::string task, Cb__RunEnd how, const std::string &saved)
   {
@@ -535,15 +351,16 @@
         for (size_t i = 0; i < orders->n_starts; i++)
           Start (w, orders->starts[i]);
         for (size_t i = 0; i < orders->n_paces; i++)
-          if (w.running.count (Name (orders->paces[i]->run)))
-            w.running[Name (orders->paces[i]->run)].pace = orders->paces[i]->percent;
+          if (w.running.count (TaskName (orders->paces[i]->run)))
+            w.running[TaskName (orders->paces[i]->run)].pace =
+                orders->paces[i]->percent;
       }
     cb_msg_free (orders);
   }
   void
   Stop (Worker &w, const Cb__TaskRun *run)
   {
-    std::string task = Name (run);
+    std::string task = TaskName (run);
 
     if (w.running.count (task) && w.running[task].run == run->run)
       Finish (w, task, CB__RUN_END__RUN_STOPPED, "at" + std::to_string (now));
@@ -554,11 +371,11 @@
   void
   Start (Worker &w, const Cb__OrderedStart *start)
   {
-    std::string task = Name (start->run);
+    std::string task = TaskName (start->run);
 
     if (w.running.count (task))
       return;
-    if (ticket_ms > 0 && !TicketIsGood (w, start->ticket))
+    if (!advisor.Accepts (w, start->ticket, now))
       {
         refused_tickets++;
         w.rejected.insert (task + "/" + std::to_string (start->run->run));
--- a/test/batch_pace_test.cc
+++ b/test/batch_pace_test.cc
@@ -39,7 +39,7 @@
   for (int i = 0; i < 100; i++)
     {
       site.Advance (100);
-      over_ms = BatchSite::Latency (*site.workers[0]) > 50 ? over_ms + 100 : 0;
+      over_ms = site.workers[0]->Latency () > 50 ? over_ms + 100 : 0;
       EXPECT_LT (over_ms, HARM_MS);
     }
   EXPECT_EQ (site.Running ("f"), 4);
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -91,7 +91,7 @@
   BatchSite site (1, 1);
 
   site.SubmitAndRun ("j", 1, { { 1, 8 } }, 3000, 300);
-  site.Crash (*site.workers[0]);
+  site.workers[0]->Crash ();
   site.Advance (400);
   EXPECT_EQ (site.Running ("j"), 1);
   site.Advance (3500);
@@ -108,7 +108,7 @@
   Worker *first = site.Busy ();
   ASSERT_NE (first, nullptr);
   ASSERT_EQ (first->running.size (), 1u);
-  site.Crash (*first);
+  first->Crash ();
   site.LateStart (*first, "j.0.0.0", 1);
   site.Advance (4000);
   EXPECT_EQ (site.Status ("j"), CB_JOB_COMPLETED);
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -160,6 +160,20 @@
   site.CheckRuns ();
 }
 
+// Ends the store's outage and checks that the job ID, which was refused, does not run
+// while a later one does.
+void
+ExpectNeverRuns (PlatformSite &site, int id)
+{
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  EXPECT_TRUE (site.Until ([&] {
+    return site.Submit (0, id + 1, 0, site.Job (1, 1, "run 50")).status == 200;
+  }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, id + 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (id, "done"), 0);
+  EXPECT_EQ (site.State (0, id, 0), "unknown");
+}
+
 // A refusal while the store is away must be true, and come before the caller's timeout.
 TEST (PlatformSite, StoreOutageIsRefusedAndTheJobNeverRuns)
 {
@@ -169,12 +183,7 @@
   site.Control (site.store, "{\"mode\":\"busy\"}");
   site::Reply reply = site.Submit (0, 1, 0, site.Job (1, 1, "run 50"));
   EXPECT_EQ (reply.status, 503);
-  site.Control (site.store, "{\"mode\":\"ok\"}");
-  ASSERT_TRUE (site.Until (
-      [&] { return site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status == 200; }));
-  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
-  EXPECT_EQ (site.Ends (1, "done"), 0);
-  EXPECT_EQ (site.State (0, 1, 0), "unknown");
+  ExpectNeverRuns (site, 1);
 }
 
 // Guards against an unknown outcome for a request that came after the store had stopped
@@ -190,12 +199,7 @@
   cb_msec_t sent = cb_clock_now (cb_clock_system ());
   EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 503);
   EXPECT_LE (cb_clock_now (cb_clock_system ()) - sent, 2000);
-  site.Control (site.store, "{\"mode\":\"ok\"}");
-  ASSERT_TRUE (site.Until (
-      [&] { return site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status == 200; }));
-  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
-  EXPECT_EQ (site.Ends (1, "done"), 0);
-  EXPECT_EQ (site.State (0, 1, 0), "unknown");
+  ExpectNeverRuns (site, 1);
 }
 
 // Guards against a refusal of a job whose earlier submission is stored after all.
