Do not deny a job whose submission may be stored; use short tickets

Found in review.

A job whose submission had no definite answer (504) was shown as 410, and its cancellation answered so, although the entry kept repeating the append: only refusals of a repeated submission knew of the open outcome. Now questions and cancellations get 503 and Retry-After until the outcome is known.

A ticket was left unused in its last 500 ms, whatever its validity: with one of 500 ms or less the step was asked about without end and never started. The part left out is at most a quarter.

That another entry is left out for a while had no log line: entry_avoided.

Ruled out for the first: a stale view; the log is fresh in the test.

Tests, which fail without the changes: PlatformSite.JobWhoseOutcomeIsOpen... with a store that does not answer appends (the stand-in's mode deaf) and BatchAdvice.ShortTicketIsUsed.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -5,16 +5,17 @@
 /* Workers in one question, as the advisor takes time for each. The platform takes up to
    100. */
 #define ASK_WORKERS 30
-/* A permit is not used in its last part in ms, so that a start reaches its worker in
-   time. */
-#define PERMIT_MARGIN_MS 500
+/* A ticket is not used in its last part in ms, at most one in MARGIN_SHARE of its time,
+   so that a start reaches its worker in time. */
+#define MARGIN_MS 500
+#define MARGIN_SHARE 4
 
 /* What the advisor said of a worker for one step. */
 typedef struct
 {
   uint64_t born_ms;   /* the life of the worker that it holds for */
   char *ticket;       /* NULL: the step may not run there */
-  cb_msec_t until_ms; /* of the ticket */
+  cb_msec_t until_ms; /* the ticket is used until then */
 } permit_t;
 
 static void
@@ -83,7 +84,7 @@
   const cb_msec_t *now_ms = data;
 
   (void)key;
-  return permit->ticket != NULL && *now_ms > permit->until_ms - PERMIT_MARGIN_MS;
+  return permit->ticket != NULL && *now_ms > permit->until_ms;
 }
 
 static const cb_batch_queue_t *
@@ -101,7 +102,8 @@
   return NULL;
 }
 
-/* Drops tickets of a step that are over. Call before the step is placed. */
+/* Learns whether the step's queue is advised, and drops tickets that are over. Call
+   before the step is placed. */
 void
 advice_refresh (const cb_batch_t *b, const job_t *job, step_state_t *step,
                 cb_msec_t now_ms)
@@ -218,7 +220,8 @@
       permit_t *permit = g_new0 (permit_t, 1);
 
       permit->born_ms = asked->born_ms;
-      permit->until_ms = asked_ms + question->validity_ms;
+      permit->until_ms = asked_ms + question->validity_ms -
+                         MIN (MARGIN_MS, question->validity_ms / MARGIN_SHARE);
       for (size_t k = 0; k < count; k++)
         if (permit->ticket == NULL && strcmp (allowed[k].worker, asked->worker) == 0)
           permit->ticket = g_strdup (allowed[k].ticket);
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -106,6 +106,21 @@
   g_hash_table_replace (entry->open_outcomes, g_strdup (id), since_ms);
 }
 
+/* Refuses a call about job ID of which nothing is known, when that may be wrong: the
+   log is behind, or a submission may be stored. Returns FALSE when there is no such
+   job. */
+static gboolean
+refuse_unknown (cb_batch_entry_t *entry, cb_http_req_t *req, const char *id)
+{
+  if (!cb_batch_log_fresh (entry, VIEW_AGE_MS))
+    cb_batch_refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
+  else if (g_hash_table_contains (entry->open_outcomes, id))
+    cb_batch_refuse (entry, req, 503, "earlier_outcome_unknown", OUTAGE_RETRY_MS);
+  else
+    return FALSE;
+  return TRUE;
+}
+
 /* Refuses a submission that is not stored. While an earlier one of the same job may
    still be, no answer may say that the job does not run. */
 static void
@@ -215,11 +230,8 @@
   Cb__BatchRecord *record;
   cb_job_status_t status = cb_batch_status (entry->batch, id);
 
-  if (status == CB_JOB_UNKNOWN && !cb_batch_log_fresh (entry, VIEW_AGE_MS))
-    {
-      cb_batch_refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
-      return;
-    }
+  if (status == CB_JOB_UNKNOWN && refuse_unknown (entry, req, id))
+    return;
   if (status == CB_JOB_UNKNOWN)
     {
       reply_json (entry, req, 410, "{}");
@@ -244,11 +256,8 @@
   cb_job_status_t status = cb_batch_status (entry->batch, id);
   char *text;
 
-  if (status == CB_JOB_UNKNOWN && !cb_batch_log_fresh (entry, VIEW_AGE_MS))
-    {
-      cb_batch_refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_MS);
-      return;
-    }
+  if (status == CB_JOB_UNKNOWN && refuse_unknown (entry, req, id))
+    return;
   text = cb_platform_status_text (status);
   reply_json (entry, req, status == CB_JOB_UNKNOWN ? 410 : 200, text);
   g_free (text);
--- a/cmd/batch_relay.c
+++ b/cmd/batch_relay.c
@@ -72,6 +72,8 @@
 {
   cb_msec_t *until_ms = g_new (cb_msec_t, 1);
 
+  cb_event (CB_LOG_INFO, "entry", "entry_avoided", "address=%s for_ms=%" PRId64,
+            address, for_ms);
   *until_ms = cb_batch_now () + for_ms;
   g_hash_table_replace (entry->avoided, g_strdup (address), until_ms);
 }
--- a/test/batch_advice_test.cc
+++ b/test/batch_advice_test.cc
@@ -61,6 +61,17 @@
   EXPECT_EQ (site.advisor.questions, 2);
 }
 
+// Guards against tickets that are over before they are used, and asked for without end.
+TEST (BatchAdvice, ShortTicketIsUsed)
+{
+  BatchSite site (1, 1);
+
+  site.Advised (0, { "w0" }, 400);
+  site.SubmitAndRun ("j", 0, { { 1, 8 } }, 5000, 800);
+  EXPECT_EQ (site.Running ("j"), 1);
+  EXPECT_EQ (site.refused_tickets, 0);
+}
+
 TEST (BatchAdvice, NextLifeOfAWorkerNeedsATicketOfItsOwn)
 {
   BatchSite site (1, 1);
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -218,6 +218,23 @@
   site.CheckRuns ();
 }
 
+// Guards against "no such job" for one whose submission is stored a moment later: while
+// its outcome is open, a question and a cancellation are told to come back.
+TEST (PlatformSite, JobWhoseOutcomeIsOpenIsNotDenied)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.store, "{\"mode\":\"deaf\"}");
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 504);
+  EXPECT_EQ (site.Call (site.callers[0], "GET", site.Path (1, 0)).status, 503);
+  EXPECT_EQ (site.Call (site.callers[0], "DELETE", site.Path (1, 0)).status, 503);
+  EXPECT_EQ (site.Call (site.callers[0], "GET", site.Path (2, 0)).status, 410);
+  site.Control (site.store, "{\"mode\":\"ok\"}");
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  site.CheckRuns ();
+}
+
 // The same after the request was passed on to an entry that did not answer in time.
 TEST (PlatformSite, RepeatedRequestIsNotRefusedWhileAnotherEntryMayHaveIt)
 {
