Let a test listen on a port with a remembered connection

An ended connection of another test program that had held the same block of ports shortly before (TIME_WAIT) then makes the port taken for one and free for the other. Ruled out: a second holder of the block (the block's first port stays bound by its holder) and an outgoing connection (ports lie below the ephemeral range). The new ListenOn is the one way for tests to listen; the assertions are the same. Before: FreeAddress.CanBeListenedOnAfterAnEndedConnection brings about the state, a plain bind fails there. Conclusion: the failure was in the test's set-up, not in net/.

--- a/test/net_test.cc
+++ b/test/net_test.cc
@@ -108,17 +108,15 @@
 TEST (Http, UnansweredConnectionIsReportedAsNotSentWithinItsLimit)
 {
   std::string address = FreeAddress ();
-  uint16_t port = static_cast<uint16_t> (std::stoi (address.substr (10)));
-  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int listener = ListenOn (address, 0);
   sockaddr_in addr = {};
   std::vector<int> fillers;
   Exchange x;
 
   addr.sin_family = AF_INET;
-  addr.sin_port = htons (port);
+  addr.sin_port = htons (static_cast<uint16_t> (PortOf (address)));
   addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ASSERT_EQ (0, bind (listener, reinterpret_cast<sockaddr *> (&addr), sizeof addr));
-  ASSERT_EQ (0, listen (listener, 0));
+  ASSERT_LE (0, listener);
   for (int i = 0; i < 4; i++)
     {
       fillers.push_back (socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
@@ -294,4 +292,32 @@
   EXPECT_NE (FreeAddress (), FreeAddress ());
 }
 
+// A test once failed to listen because Linux remembered an ended connection on the
+// port, which another test program had used shortly before.
+TEST (FreeAddress, CanBeListenedOnAfterAnEndedConnection)
+{
+  std::string address = FreeAddress ();
+  int listener = ListenOn (address, 1);
+  sockaddr_in addr = {};
+  int caller = socket (AF_INET, SOCK_STREAM, 0);
+  char byte;
+
+  ASSERT_LE (0, listener);
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons (static_cast<uint16_t> (PortOf (address)));
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ASSERT_EQ (0, connect (caller, reinterpret_cast<sockaddr *> (&addr), sizeof addr));
+  int accepted = accept (listener, nullptr, nullptr);
+  ASSERT_LE (0, accepted);
+  close (accepted); // the end that closes first keeps the port in TIME_WAIT
+  EXPECT_EQ (0, read (caller, &byte, 1));
+  close (caller);
+  close (listener);
+  EXPECT_EQ (-1, BindPort (PortOf (address), 0))
+      << "the state that the failed test met";
+  listener = ListenOn (address, 1);
+  EXPECT_LE (0, listener);
+  close (listener);
+}
+
 } // namespace
--- a/test/port.h
+++ b/test/port.h
@@ -34,6 +34,27 @@
   return -1;
 }
 
+// Returns the port of ADDRESS, which is 127.0.0.1:PORT.
+inline int
+PortOf (const std::string &address)
+{
+  return std::stoi (address.substr (address.find (':') + 1));
+}
+
+// Listens on ADDRESS, 127.0.0.1:PORT, with a queue of BACKLOG connections, and returns
+// the socket, or -1. An ended connection of an earlier user of the port, which Linux
+// remembers for a minute, is no obstacle.
+inline int
+ListenOn (const std::string &address, int backlog)
+{
+  int fd = BindPort (PortOf (address), 1);
+
+  if (fd >= 0 && listen (fd, backlog) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
 // Returns the first port of a block that no other test has. The socket on it stays
 // bound until this process ends, which keeps the block.
 inline int
