Trust ends once, use free places first, set failing workers aside

Ruled out: a lack of workers in the state (76 of 76 listed) and rooms held back for nothing (free rooms before placement about 0 in the burst).

--- a/batch/fold.c
+++ b/batch/fold.c
@@ -154,6 +154,7 @@
   task->proposed_end = FALSE;
   task->percent = 0;
   task->percent_ms = now_ms;
+  task->ending_ms = 0;
   count_wait (b, task->job, now_ms);
   task->job->started = TRUE;
   attach_task (get_worker (b, start->worker, start->born_ms, start->agent), task);
--- a/batch/learn.c
+++ b/batch/learn.c
@@ -4,11 +4,6 @@
 #define LEARN_RATE 0.15
 /* Expected time of a task of a queue without any end and without a declared time. */
 #define DEFAULT_TASK_MS 5000
-/* Failed or stalled runs in a row after which a worker is avoided, and for how long in
-   ms: doubled with each further one, up to the cap. */
-#define AVOID_AFTER 2
-#define AVOID_MS 3000
-#define AVOID_CAP_MS 24000
 
 static learned_t *
 get_learned (const cb_batch_t *b, const char *queue)
@@ -23,33 +18,19 @@
   return learned;
 }
 
-static void
-learn_worker (worker_t *w, Cb__RunEnd how, cb_msec_t now_ms)
-{
-  if (how == CB__RUN_END__RUN_DONE)
-    w->failures_in_row = 0;
-  else if (how == CB__RUN_END__RUN_FAILED)
-    w->failures_in_row++;
-  if (w->failures_in_row >= AVOID_AFTER)
-    w->avoid_until_ms =
-        now_ms + MIN (AVOID_CAP_MS,
-                      (cb_msec_t)AVOID_MS << MIN (w->failures_in_row - AVOID_AFTER, 4));
-}
-
 /* Takes note of the end of TASK's run: the run time for its queue, success or failure
    for its worker. */
 void
-learn_end (cb_batch_t *b, const task_t *task, Cb__RunEnd how, cb_msec_t now_ms)
+learn_end (cb_batch_t *b, task_t *task, Cb__RunEnd how, cb_msec_t now_ms)
 {
   learned_t *learned = get_learned (b, task->job->spec->queue);
   cb_msec_t took_ms = now_ms - task->started_ms;
 
-  learn_worker (task->worker, how, now_ms);
   if (how == CB__RUN_END__RUN_FAILED)
-    learned->failed++;
+    trust_failed (task->worker, task, now_ms);
   if (how != CB__RUN_END__RUN_DONE)
     return;
-  learned->done++;
+  trust_done (task->worker);
   /* A resumed run says nothing of the whole time. */
   if (took_ms <= 0 || task->saved != NULL)
     return;
--- a/batch/local.h
+++ b/batch/local.h
@@ -35,10 +35,13 @@
   uint32_t percent;
   uint32_t latency_ms;     /* tail of its response times, for a task with a target */
   cb_msec_t percent_ms;    /* when it last changed */
+  cb_msec_t ending_ms;     /* since when it has seemed about to end; 0: it does not */
   const worker_t *planned; /* is being emptied for the task; only to be compared */
   cb_msec_t planned_ms;
-  cb_msec_t not_before_ms; /* after a start that was rejected */
-  uint32_t stalls;         /* runs that were stopped because they stood still */
+  cb_msec_t not_before_ms;   /* after a start that was rejected */
+  const worker_t *failed_on; /* of the latest failed run; only to be compared */
+  cb_msec_t failed_ms;       /* when it ended */
+  uint32_t stalls;           /* runs that were stopped because they stood still */
   /* Place. */
   job_t *job;
   uint32_t occurrence;
@@ -108,14 +111,30 @@
   uint64_t last_seen;
   GPtrArray *strays; /* of Cb__TaskRun: runs that it must stop */
   gboolean orders_changed;
-  uint32_t fill_percent;   /* of their work that tasks that fill may do here */
-  cb_msec_t paced_ms;      /* when it last changed */
-  cb_msec_t calm_since_ms; /* response times have been well below their targets */
-  uint32_t failures_in_row;
-  cb_msec_t avoid_until_ms; /* it failed or stalled work lately */
-  double slowness; /* measured run time against expected, smoothed; 1: as expected */
+  uint32_t fill_percent;    /* of their work that tasks that fill may do here */
+  cb_msec_t paced_ms;       /* when it last changed */
+  cb_msec_t calm_since_ms;  /* response times have been well below their targets */
+  uint32_t failures_in_row; /* of runs that each started after the one before failed */
+  cb_msec_t failed_ms;      /* when the latest of them ended */
+  cb_msec_t aside_until_ms; /* it failed or stalled work lately */
 };
 
+/* How far a worker that failed or stalled work lately is trusted with more. */
+typedef enum
+{
+  TRUST_FULL,
+  TRUST_PROBE, /* one task at a time shows whether it is sound again */
+  TRUST_NONE,
+} trust_t;
+
+/* Which rooms work may use. */
+typedef enum
+{
+  REACH_SHARED, /* those that are not kept for more urgent work */
+  REACH_KEPT,   /* kept ones too */
+  REACH_ALL,    /* workers that are not trusted too */
+} reach_t;
+
 /* What a placement pass may still use of a worker. Below 0: more is promised to planned
    work than is free at present. */
 typedef struct
@@ -125,7 +144,9 @@
   int64_t memory_mb;
   int64_t accelerators;
   int64_t fill_milli; /* cpu that tasks that fill would use */
-  uint32_t kept;      /* from work of this priority and higher numbers; 0: from none */
+  trust_t trust;
+  gboolean gang_probe; /* a gang may be the probe */
+  uint32_t kept;       /* from work of this priority and higher numbers; 0: from none */
 } room_t;
 
 typedef struct
@@ -140,8 +161,6 @@
 {
   double mean_ms; /* 0: nothing learned */
   uint32_t count;
-  uint32_t done;
-  uint32_t failed;
 } learned_t;
 
 struct cb_batch
@@ -222,12 +241,21 @@
 gboolean room_suits (const worker_t *w, const task_t *task);
 gboolean room_allows (const room_t *room, const task_t *task, uint32_t more);
 gboolean fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
-                    gboolean use_kept, room_t **chosen);
-gboolean fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, gboolean use_kept,
+                    reach_t reach, room_t **chosen);
+gboolean fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, reach_t reach,
                    room_t **chosen);
 
+/* trust.c */
+void trust_failed (worker_t *w, task_t *task, cb_msec_t now_ms);
+void trust_done (worker_t *w);
+void trust_progress (worker_t *w, const task_t *task, cb_msec_t now_ms);
+void trust_rooms (GPtrArray *rooms, cb_msec_t now_ms);
+void trust_forget (const GPtrArray *rooms, task_t *task, cb_msec_t now_ms);
+gboolean trust_allows (const room_t *room, const task_t *task);
+
 /* reclaim.c */
 gboolean account_guaranteed (const cb_batch_t *b, const job_t *job);
+void note_ending (const cb_batch_t *b, task_t *task, cb_msec_t now_ms);
 gboolean plan_reclaim (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
                        gboolean guaranteed, cb_msec_t now_ms);
 void await_places (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
@@ -250,7 +278,7 @@
 void place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms);
 
 /* learn.c */
-void learn_end (cb_batch_t *b, const task_t *task, Cb__RunEnd how, cb_msec_t now_ms);
+void learn_end (cb_batch_t *b, task_t *task, Cb__RunEnd how, cb_msec_t now_ms);
 cb_msec_t expected_ms (const cb_batch_t *b, const Cb__BatchJob *job, uint32_t step);
 cb_msec_t remaining_ms (const cb_batch_t *b, const task_t *task, cb_msec_t now_ms);
 cb_msec_t chain_ms (const cb_batch_t *b, const job_t *job, uint32_t occurrence,
--- a/batch/place.c
+++ b/batch/place.c
@@ -28,7 +28,7 @@
   gboolean late;             /* cannot end within its objective any more */
   gboolean at_risk;          /* late unless it starts soon */
   gboolean idle;             /* nothing of it runs on a fleet with much room */
-  gboolean use_kept;         /* may use rooms that are kept for urgent work */
+  reach_t reach;
 } demand_t;
 
 static cb_msec_t
@@ -86,7 +86,9 @@
                                AT_RISK_MS * (cb_msec_t)MAX (1, job->spec->priority);
   demand.idle =
       use < IDLE_USE && job->open_runs == 0 && now_ms - job->idle_ms > IDLE_WAIT_MS;
-  demand.use_kept = job->spec->priority == 0 || demand.at_risk || demand.idle;
+  demand.reach = demand.idle                                  ? REACH_ALL
+                 : job->spec->priority == 0 || demand.at_risk ? REACH_KEPT
+                                                              : REACH_SHARED;
   demand.guaranteed = account_guaranteed (b, job);
   g_array_append_val (demands, demand);
 }
@@ -137,18 +139,6 @@
   return tasks;
 }
 
-static void
-start_in_rooms (cb_batch_t *b, task_t **tasks, room_t **chosen, uint32_t count,
-                cb_msec_t now_ms)
-{
-  worker_t **workers = g_new (worker_t *, count);
-
-  for (uint32_t i = 0; i < count; i++)
-    workers[i] = chosen[i]->worker;
-  start_tasks (b, tasks, workers, count, now_ms);
-  g_free (workers);
-}
-
 static room_t *
 room_of (GPtrArray *rooms, const worker_t *w)
 {
@@ -159,7 +149,7 @@
 }
 
 /* Returns the room that is being emptied for TASK, or NULL when there is no plan, or it
-   could not be carried out in time. */
+   cannot be carried out in time or at all any more. */
 static room_t *
 planned_room (const cb_batch_t *b, GPtrArray *rooms, task_t *task, cb_msec_t now_ms)
 {
@@ -168,41 +158,121 @@
   if (task->planned != NULL &&
       now_ms - task->planned_ms < b->params.stop_ms + PLAN_SLACK_MS)
     room = room_of (rooms, task->planned);
+  if (room != NULL && !room_allows (room, task, 0))
+    room = NULL;
   if (room == NULL)
     task->planned = NULL;
   return room;
 }
 
-/* Starts a planned gang when its places are free, otherwise keeps them for it. Returns
-   FALSE when there is no plan or it cannot be carried out any more. */
+/* Takes the places of all plans off ROOMS, so that nothing else is put there. */
+static void
+reserve_plans (const cb_batch_t *b, GPtrArray *rooms, const GArray *demands,
+               cb_msec_t now_ms)
+{
+  for (guint i = 0; i < demands->len; i++)
+    {
+      const demand_t *demand = &g_array_index (demands, demand_t, i);
+      step_state_t *step =
+          &demand->job->occurrences[demand->occurrence].steps[demand->step];
+
+      for (uint32_t t = 0; t < step->count; t++)
+        {
+          task_t *task = &step->tasks[t];
+          room_t *room =
+              task->planned == NULL ? NULL : planned_room (b, rooms, task, now_ms);
+
+          if (room != NULL)
+            room_take (room, task_spec (task));
+        }
+    }
+}
+
+/* Gives the places of a plan for COUNT tasks back and lists them in CHOSEN. Returns
+   FALSE when there is no plan for all of them. */
 static gboolean
-follow_plan (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
-             cb_msec_t now_ms)
+release_plan (const cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+              room_t **chosen, cb_msec_t now_ms)
 {
-  const Cb__BatchStep *spec = task_spec (tasks[0]);
-  room_t **chosen = g_new0 (room_t *, count);
-  uint32_t taken = 0;
-  gboolean free_now = TRUE;
   gboolean valid = TRUE;
 
-  for (uint32_t i = 0; i < count && valid; i++)
+  for (uint32_t i = 0; i < count; i++)
     {
       chosen[i] = planned_room (b, rooms, tasks[i], now_ms);
-      valid = chosen[i] != NULL;
+      valid = valid && chosen[i] != NULL;
+      if (chosen[i] != NULL)
+        room_give (chosen[i], task_spec (tasks[i]));
     }
-  for (; valid && taken < count; taken++)
+  return valid;
+}
+
+/* Starts COUNT tasks in CHOSEN; plans for them are of no use any more. */
+static void
+start_in_rooms (cb_batch_t *b, task_t **tasks, room_t **chosen, uint32_t count,
+                cb_msec_t now_ms)
+{
+  worker_t **workers = g_new (worker_t *, count);
+
+  for (uint32_t i = 0; i < count; i++)
     {
-      free_now = free_now && room_fits (chosen[taken], spec);
-      room_take (chosen[taken], spec);
+      workers[i] = chosen[i]->worker;
+      tasks[i]->planned = NULL;
     }
-  if (valid && free_now)
-    start_in_rooms (b, tasks, chosen, count, now_ms);
-  for (uint32_t i = 0; i < count && (!valid || free_now); i++)
+  start_tasks (b, tasks, workers, count, now_ms);
+  g_free (workers);
+}
+
+/* Takes the places of a plan, and starts the tasks there when all of them are free. */
+static void
+take_planned (cb_batch_t *b, task_t **tasks, room_t **planned, uint32_t count,
+              cb_msec_t now_ms)
+{
+  gboolean free_now = TRUE;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      free_now = free_now && room_fits (planned[i], task_spec (tasks[i]));
+      room_take (planned[i], task_spec (tasks[i]));
+    }
+  if (free_now)
+    start_in_rooms (b, tasks, planned, count, now_ms);
+}
+
+/* Starts COUNT tasks for which places are being emptied, wherever there is room first,
+   or keeps the places for them. Returns FALSE when there is no plan or it cannot be
+   carried out any more. */
+static gboolean
+follow_plan (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, task_t **tasks,
+             uint32_t count, cb_msec_t now_ms)
+{
+  room_t **planned = g_new0 (room_t *, count);
+  room_t **chosen = g_new0 (room_t *, count);
+  gboolean valid = release_plan (b, rooms, tasks, count, planned, now_ms);
+
+  for (uint32_t i = 0; i < count && !valid; i++)
     tasks[i]->planned = NULL;
+  if (valid && fit_step (rooms, tasks, count, demand->reach, chosen))
+    start_in_rooms (b, tasks, chosen, count, now_ms);
+  else if (valid)
+    take_planned (b, tasks, planned, count, now_ms);
+  g_free (planned);
   g_free (chosen);
   return valid;
 }
 
+/* Takes the places that were chosen just now for COUNT tasks. */
+static void
+keep_plan (cb_batch_t *b, GPtrArray *rooms, task_t **tasks, uint32_t count,
+           cb_msec_t now_ms)
+{
+  room_t **planned = g_new0 (room_t *, count);
+
+  for (uint32_t i = 0; i < count; i++)
+    planned[i] = room_of (rooms, tasks[i]->planned);
+  take_planned (b, tasks, planned, count, now_ms);
+  g_free (planned);
+}
+
 /* Urgent work does not wait for less urgent work; other work only when it would be late
    otherwise. */
 static gboolean
@@ -211,58 +281,31 @@
   return demand->job->spec->priority == 0 || now_ms >= demand->latest_start_ms;
 }
 
-static void
-place_gang (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, task_t **tasks,
-            uint32_t count, cb_msec_t now_ms)
+/* Starts COUNT tasks together, or plans to. Returns FALSE when they have to wait for
+   others' ends. */
+static gboolean
+place_together (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, task_t **tasks,
+                uint32_t count, gboolean preempt, cb_msec_t now_ms)
 {
   room_t **chosen = g_new0 (room_t *, count);
+  gboolean placed = TRUE;
 
-  if (!follow_plan (b, rooms, tasks, count, now_ms))
+  if (!follow_plan (b, rooms, demand, tasks, count, now_ms))
     {
-      if (fit_step (rooms, tasks, count, demand->use_kept, chosen))
+      placed = fit_step (rooms, tasks, count, demand->reach, chosen);
+      if (placed)
         start_in_rooms (b, tasks, chosen, count, now_ms);
-      else if (may_preempt (demand, now_ms) &&
+      else if (preempt &&
                plan_reclaim (b, rooms, tasks, count, demand->guaranteed, now_ms))
-        follow_plan (b, rooms, tasks, count, now_ms);
+        {
+          placed = TRUE;
+          keep_plan (b, rooms, tasks, count, now_ms);
+        }
       else if (demand->job->spec->priority == 0 || demand->at_risk)
         await_places (b, rooms, tasks, count, now_ms);
     }
   g_free (chosen);
-}
-
-/* Starts or plans one task. Returns FALSE when it has to wait for others' ends. */
-static gboolean
-place_task (cb_batch_t *b, GPtrArray *rooms, const demand_t *demand, task_t *task,
-            gboolean preempt, cb_msec_t now_ms)
-{
-  room_t *room = planned_room (b, rooms, task, now_ms);
-
-  if (room == NULL && fit_group (rooms, &task, 1, NULL, demand->use_kept, &room))
-    {
-      start_in_rooms (b, &task, &room, 1, now_ms);
-      return TRUE;
-    }
-  if (room == NULL && preempt &&
-      plan_reclaim (b, rooms, &task, 1, demand->guaranteed, now_ms))
-    room = planned_room (b, rooms, task, now_ms);
-  if (room == NULL)
-    {
-      if (demand->job->spec->priority == 0 || demand->at_risk)
-        await_places (b, rooms, &task, 1, now_ms);
-      return FALSE;
-    }
-  if (!room_allows (room, task, 0))
-    {
-      task->planned = NULL;
-      return FALSE;
-    }
-  if (room_fits (room, task_spec (task)))
-    {
-      task->planned = NULL;
-      start_in_rooms (b, &task, &room, 1, now_ms);
-    }
-  room_take (room, task_spec (task));
-  return TRUE;
+  return placed;
 }
 
 static gboolean
@@ -285,15 +328,18 @@
   uint32_t wave = (step->count + MAX (1, step->waves) - 1) / MAX (1, step->waves);
 
   advice_refresh (b, demand->job, step, now_ms);
+  for (uint32_t i = 0; i < count; i++)
+    trust_forget (rooms, tasks[i], now_ms);
   if (spec->gang && count > 0 && count == step->count)
-    place_gang (b, rooms, demand, tasks, count, now_ms);
+    place_together (b, rooms, demand, tasks, count, may_preempt (demand, now_ms),
+                    now_ms);
   for (uint32_t i = 0; i < count && !spec->gang; i++)
     {
       /* A wide step stops others' work for one wave at a time. */
       gboolean preempt = may_preempt (demand, now_ms) &&
                          (demand->guaranteed || step->started + i < wave);
 
-      if (!place_task (b, rooms, demand, tasks[i], preempt, now_ms) ||
+      if (!place_together (b, rooms, demand, &tasks[i], 1, preempt, now_ms) ||
           (demand->idle && !demand->at_risk && demand->job->spec->priority > 0))
         break;
     }
@@ -312,6 +358,7 @@
 
   cb_batch_question_free (cb_batch_take_question (b));
   rooms_keep (rooms);
+  reserve_plans (b, rooms, demands, now_ms);
   for (guint i = 0; rooms->len > 0 && i < demands->len; i++)
     place_step (b, rooms, &g_array_index (demands, demand_t, i), now_ms);
   g_array_unref (demands);
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -7,8 +7,14 @@
 /* Without a guarantee, work may be stopped for a job only when what is lost is at most
    this multiple of the job's own work. */
 #define LOSS_PER_WORK 1.0
+/* Share of the time in which guaranteed work has to start after which equally urgent
+   work is stopped for it: what is left is enough for two plans. */
+#define EQUALS_AFTER 0.3
 /* A run that ends within this time in ms beyond a stop's duration is not stopped. */
 #define ENDS_SOON_MS 150
+/* A run that has seemed about to end for this multiple of that time is not relied on
+   any more: slow workers stay at the last percents for seconds. */
+#define SOON_TRUST 2
 
 static uint32_t
 guarantee_of (const cb_batch_t *b, const char *account)
@@ -59,7 +65,9 @@
   const cb_batch_t *b;
   const job_t *job; /* that the room is for */
   gboolean guaranteed;
-  gboolean waits; /* for the ends of others instead of stopping them */
+  gboolean equals; /* equally urgent work without a guarantee gives way, too, and
+                      workers that are not trusted are used */
+  gboolean waits;  /* for the ends of others instead of stopping them */
   cb_msec_t now_ms;
 } claim_t;
 
@@ -84,14 +92,30 @@
   return cores * lost_ms;
 }
 
-/* TRUE when TASK's run ends by itself before a stop would have ended it. */
+/* TRUE when TASK's run ends by itself before a stop would have ended it, unless it has
+   seemed so for too long. */
 static gboolean
 ends_soon (const claim_t *claim, const task_t *task)
 {
+  cb_msec_t soon_ms = claim->b->params.stop_ms + ENDS_SOON_MS;
+
   return task->state == TASK_STARTED && task->percent > 0 &&
          !task_spec (task)->daemon &&
-         remaining_ms (claim->b, task, claim->now_ms) <
-             claim->b->params.stop_ms + ENDS_SOON_MS;
+         remaining_ms (claim->b, task, claim->now_ms) < soon_ms &&
+         (task->ending_ms == 0 ||
+          claim->now_ms - task->ending_ms < SOON_TRUST * soon_ms);
+}
+
+/* Takes note at a report of TASK's progress whether its run seems about to end. */
+void
+note_ending (const cb_batch_t *b, task_t *task, cb_msec_t now_ms)
+{
+  gboolean ending = remaining_ms (b, task, now_ms) < b->params.stop_ms + ENDS_SOON_MS;
+
+  if (!ending || task->percent == 0)
+    task->ending_ms = 0;
+  else if (task->ending_ms == 0)
+    task->ending_ms = now_ms;
 }
 
 /* TRUE when TASK's place is free within the time of a stop without one. A guarantee
@@ -111,8 +135,8 @@
   return step->daemon && (!claim->guaranteed || step->max_unavailable > 0);
 }
 
-/* Less urgent work gives way; equally urgent work only to a guarantee when it has none
-   itself. */
+/* Less urgent work gives way; equally urgent work only to a guarantee that has waited,
+   when it has none itself. */
 static gboolean
 is_victim (const claim_t *claim, const task_t *task)
 {
@@ -125,7 +149,7 @@
     return FALSE;
   if (other->spec->priority > claim->job->spec->priority)
     return TRUE;
-  return claim->guaranteed && !account_guaranteed (claim->b, other);
+  return claim->equals && !account_guaranteed (claim->b, other);
 }
 
 /* What can be had on one worker. */
@@ -232,6 +256,7 @@
       double cost;
 
       if ((rack != NULL && strcmp (place->left.worker->rack, rack) != 0) ||
+          (!claim->equals && !trust_allows (&place->left, task)) ||
           !room_allows (&place->left, task, place->taken))
         continue;
       cost = extra_cost (claim, place, step, &left, &used);
@@ -332,6 +357,19 @@
   return best;
 }
 
+/* Returns the cheapest plan of CLAIM that is worth it: what is lost in core-ms, or
+   below 0 when there is none. */
+static double
+worthy_plan (claim_t *claim, GPtrArray *rooms, task_t **tasks, uint32_t count,
+             const worker_t **chosen, GPtrArray *victims)
+{
+  double cost = best_plan (claim, rooms, tasks, count, chosen, victims);
+
+  if (cost >= 0 && !is_worth_it (claim, cost, task_spec (tasks[0]), count))
+    cost = -1;
+  return cost;
+}
+
 /* Stops the cheapest work that has to give way to a job, so that COUNT of its tasks can
    start, and keeps the places for them. GUARANTEED: the job has a claim to them.
    Returns FALSE when there is no such work or it is worth more. */
@@ -341,27 +379,33 @@
 {
   const worker_t **chosen = g_new0 (const worker_t *, count);
   GPtrArray *victims = g_ptr_array_new ();
-  claim_t claim = { b, tasks[0]->job, guaranteed, FALSE, now_ms };
-  double cost = best_plan (&claim, rooms, tasks, count, chosen, victims);
-  gboolean planned =
-      cost >= 0 && is_worth_it (&claim, cost, task_spec (tasks[0]), count);
+  job_t *job = tasks[0]->job;
+  claim_t claim = { b, job, guaranteed, FALSE, FALSE, now_ms };
+  double cost = worthy_plan (&claim, rooms, tasks, count, chosen, victims);
 
-  for (uint32_t i = 0; planned && i < count; i++)
+  if (cost < 0 && guaranteed &&
+      now_ms - job->folded_ms >= EQUALS_AFTER * (double)b->params.reclaim_ms)
+    {
+      claim.equals = TRUE;
+      g_ptr_array_set_size (victims, 0);
+      cost = worthy_plan (&claim, rooms, tasks, count, chosen, victims);
+    }
+  for (uint32_t i = 0; cost >= 0 && i < count; i++)
     {
       tasks[i]->planned = chosen[i];
       tasks[i]->planned_ms = now_ms;
     }
-  if (planned)
+  if (cost >= 0)
     cb_event (CB_LOG_INFO, "batch", "reclaim",
-              "job=%s account=%s priority=%u guaranteed=%d tasks=%u victims=%u "
-              "lost_core_ms=%.0f",
-              tasks[0]->job->spec->id, tasks[0]->job->spec->account,
-              tasks[0]->job->spec->priority, guaranteed, count, victims->len, cost);
-  for (guint i = 0; planned && i < victims->len; i++)
+              "job=%s account=%s priority=%u guaranteed=%d equals=%d tasks=%u "
+              "victims=%u lost_core_ms=%.0f",
+              job->spec->id, job->spec->account, job->spec->priority, guaranteed,
+              claim.equals, count, victims->len, cost);
+  for (guint i = 0; cost >= 0 && i < victims->len; i++)
     stop_task (b, victims->pdata[i], now_ms, "reclaimed");
   g_ptr_array_free (victims, TRUE);
   g_free (chosen);
-  return planned;
+  return cost >= 0;
 }
 
 /* Keeps the places that will be free first for COUNT tasks that cannot start yet, so
@@ -372,7 +416,7 @@
 {
   const worker_t **chosen = g_new0 (const worker_t *, count);
   GPtrArray *awaited = g_ptr_array_new ();
-  claim_t claim = { b, tasks[0]->job, FALSE, TRUE, now_ms };
+  claim_t claim = { b, tasks[0]->job, FALSE, FALSE, TRUE, now_ms };
   double wait_ms = best_plan (&claim, rooms, tasks, count, chosen, awaited);
 
   for (uint32_t i = 0; wait_ms >= 0 && i < count; i++)
--- a/batch/report.c
+++ b/batch/report.c
@@ -100,6 +100,8 @@
       if (task->percent != running->percent)
         task->percent_ms = now_ms;
       task->percent = running->percent;
+      note_ending (b, task, now_ms);
+      trust_progress (w, task, now_ms);
       task->latency_ms = task_spec (task)->target_ms > 0 ? running->usage : 0;
       if (running->saved[0] == '\0')
         continue;
--- a/batch/room.c
+++ b/batch/room.c
@@ -13,11 +13,11 @@
 #define KEEP_FROM_OTHERS 0.3
 #define KEEP_FROM_LAST 0.6
 /* Scores of a worker, above what accelerators and cores add to them: where tasks that
-   fill and tasks that serve would meet, away from the step's data, and one that failed
-   or stalled work lately, each worse than all before. */
+   fill and tasks that serve would meet, away from the step's data, and one that is not
+   trusted, each worse than all before. */
 #define DISTURBED_SCORE 100
 #define REMOTE_SCORE 1000
-#define AVOIDED_SCORE 100000
+#define DISTRUSTED_SCORE 100000
 
 static room_t *
 room_new (worker_t *w)
@@ -61,6 +61,7 @@
         g_ptr_array_add (rooms, room_new (w));
     }
   g_ptr_array_sort (rooms, compare_rooms);
+  trust_rooms (rooms, now_ms);
   return rooms;
 }
 
@@ -130,7 +131,8 @@
 
   count_accelerators (rooms, &total, &kept);
   for (guint i = 0; i < rooms->len; i++)
-    g_ptr_array_add (order, rooms->pdata[i]);
+    if (((room_t *)rooms->pdata[i])->trust == TRUST_FULL)
+      g_ptr_array_add (order, rooms->pdata[i]);
   g_ptr_array_sort (order, compare_free);
   for (guint i = 0; i < order->len && kept < KEEP_FROM_LAST * total; i++)
     {
@@ -233,7 +235,7 @@
    the task, by accelerators and then by cores, so that whole workers stay free. Work
    that fills uses what others leave: it goes to the worker with most unused cores. */
 static double
-room_score (const room_t *room, const Cb__BatchStep *step, cb_msec_t avoid_ms)
+room_score (const room_t *room, const Cb__BatchStep *step, gboolean trusted)
 {
   const worker_t *w = room->worker;
   double free_share = (double)(room->cpu_milli - (int64_t)step->cpu_milli) /
@@ -247,13 +249,13 @@
     score += DISTURBED_SCORE;
   if (step->data_rack[0] != '\0' && strcmp (w->rack, step->data_rack) != 0)
     score += REMOTE_SCORE;
-  if (avoid_ms > 0)
-    score += AVOIDED_SCORE;
+  if (!trusted)
+    score += DISTRUSTED_SCORE;
   return score;
 }
 
 static room_t *
-best_room (GPtrArray *rooms, const task_t *task, const char *rack, gboolean use_kept,
+best_room (GPtrArray *rooms, const task_t *task, const char *rack, reach_t reach,
            room_t **chosen, uint32_t n_chosen)
 {
   const Cb__BatchStep *step = task_spec (task);
@@ -265,8 +267,10 @@
       room_t *room = rooms->pdata[i];
       uint32_t same = 0;
       double score;
+      gboolean trusted = trust_allows (room, task);
 
-      if (!use_kept && room->kept > 0 && task->job->spec->priority >= room->kept)
+      if ((!trusted && reach < REACH_ALL) || (reach < REACH_KEPT && room->kept > 0 &&
+                                              task->job->spec->priority >= room->kept))
         continue;
       if ((rack != NULL && strcmp (room->worker->rack, rack) != 0) ||
           !room_fits (room, step))
@@ -275,8 +279,7 @@
         same += chosen[k] == room;
       if (!room_allows (room, task, same))
         continue;
-      score = room_score (room, step,
-                          room->worker->avoid_until_ms - room->worker->report_ms);
+      score = room_score (room, step, trusted);
       if (best == NULL || score < best_score)
         {
           best = room;
@@ -287,17 +290,17 @@
 }
 
 /* Chooses a room for each of COUNT tasks of one step, in RACK unless it is NULL, and
-   takes it; kept rooms only with USE_KEPT. When not all fit, FALSE is returned and
+   takes it; of the rooms within REACH only. When not all fit, FALSE is returned and
    nothing is taken. */
 gboolean
 fit_group (GPtrArray *rooms, task_t **tasks, uint32_t count, const char *rack,
-           gboolean use_kept, room_t **chosen)
+           reach_t reach, room_t **chosen)
 {
   const Cb__BatchStep *step = task_spec (tasks[0]);
 
   for (uint32_t i = 0; i < count; i++)
     {
-      chosen[i] = best_room (rooms, tasks[i], rack, use_kept, chosen, i);
+      chosen[i] = best_room (rooms, tasks[i], rack, reach, chosen, i);
       if (chosen[i] != NULL)
         {
           room_take (chosen[i], step);
@@ -361,7 +364,7 @@
 /* As fit_group, for a step whose tasks may have to share a rack. They are spread over
    racks only when no rack could hold them even if it were empty. */
 gboolean
-fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, gboolean use_kept,
+fit_step (GPtrArray *rooms, task_t **tasks, uint32_t count, reach_t reach,
           room_t **chosen)
 {
   const Cb__BatchStep *step = task_spec (tasks[0]);
@@ -370,7 +373,7 @@
   gboolean found = FALSE;
 
   if (!step->same_rack || count < 2)
-    return fit_group (rooms, tasks, count, NULL, use_kept, chosen);
+    return fit_group (rooms, tasks, count, NULL, reach, chosen);
   tried = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < rooms->len && !found; i++)
     {
@@ -379,9 +382,9 @@
       if (!g_hash_table_add (tried, (gpointer)rack))
         continue;
       possible = possible || rooms_hold (rooms, rack, step, tasks[0]) >= count;
-      found = fit_group (rooms, tasks, count, rack, use_kept, chosen);
+      found = fit_group (rooms, tasks, count, rack, reach, chosen);
     }
   g_hash_table_unref (tried);
   return found || (!possible && !advice_open (rooms, tasks[0]) &&
-                   fit_group (rooms, tasks, count, NULL, use_kept, chosen));
+                   fit_group (rooms, tasks, count, NULL, reach, chosen));
 }
--- a/batch/state.c
+++ b/batch/state.c
@@ -202,7 +202,6 @@
   w->labels = g_new0 (char *, 1);
   w->tasks = g_ptr_array_new ();
   w->strays = g_ptr_array_new_with_free_func (cb_msg_free);
-  w->slowness = 1;
   w->fill_percent = FULL_PERCENT;
   g_hash_table_insert (b->workers, key, w);
   return w;
--- a/batch/watch.c
+++ b/batch/watch.c
@@ -11,9 +11,8 @@
 /* Runs of a task that are stopped for standing still: a worker that reports no progress
    at all must not keep its work from ending. */
 #define STALL_MOVES 1
-/* A worker with a run that stands still gets no new work for this long in ms while
-   there is another. */
-#define STALL_AVOID_MS 4000
+/* A worker with a run that stands still is set aside for this long in ms. */
+#define STALL_ASIDE_MS 4000
 
 static void
 end_all (cb_batch_t *b, worker_t *w)
@@ -89,12 +88,12 @@
       spec->daemon || task->percent == 0 || task->percent >= STALL_LAST_PERCENT ||
       still_ms < STALL_URGENT_MS)
     return;
-  if (w->avoid_until_ms < now_ms)
+  if (w->aside_until_ms < now_ms)
     cb_event (CB_LOG_WARN, "batch", "run_stalled",
               "job=%s task=%u.%u.%u run=%u worker=%s percent=%u still_ms=%" PRId64,
               task->job->spec->id, task->occurrence, task->step, task->index, task->run,
               w->id, task->percent, still_ms);
-  w->avoid_until_ms = now_ms + STALL_AVOID_MS;
+  w->aside_until_ms = MAX (w->aside_until_ms, now_ms + STALL_ASIDE_MS);
   if (task->stalls >= STALL_MOVES)
     return;
   if (urgent || (still_ms > STALL_MS && (spec->saves || task->percent < STALL_PERCENT)))
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -57,6 +57,9 @@
   }
 };
 
+// Time after which a worker that fails everything has failed a run.
+constexpr cb_msec_t kFailsAfterMs = 50;
+
 class BatchSite
 {
 public:
@@ -81,6 +84,7 @@
   bool log_away = false;     // records of the scheduler wait
   Advisor advisor;
   int refused_tickets = 0;
+  int failed_runs = 0;
   std::vector<std::vector<uint8_t> > log;
 
   BatchSite (int count, int per_rack, std::map<std::string, uint32_t> accounts = {})
@@ -326,13 +330,18 @@
         }
     std::vector<std::string> due;
     for (const auto &r : w.running)
-      if (!w.stuck && now >= r.second.ends_ms)
+      if ((!w.stuck && now >= r.second.ends_ms) ||
+          (w.fails && now >= r.second.began_ms + kFailsAfterMs))
         due.push_back (r.first);
     for (const auto &task : due)
       if (w.running.count (task))
-        Finish (w, task,
-                fails[task]-- > 0 ? CB__RUN_END__RUN_FAILED : CB__RUN_END__RUN_DONE,
-                "");
+        {
+          bool failed = w.fails || fails[task]-- > 0;
+
+          failed_runs += failed;
+          Finish (w, task, failed ? CB__RUN_END__RUN_FAILED : CB__RUN_END__RUN_DONE,
+                  "");
+        }
   }
   void
   Obey (Worker &w)
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -34,6 +34,67 @@
   EXPECT_LE (site.first_start_ms["own.0.0.0"] - accepted, site.params.reclaim_ms);
 }
 
+// Guards against an urgent job that waits for work which has seemed about to end for
+// seconds, while other work could give way (armor trouble-3 --seed 11: 5.5 s on workers
+// that had turned slow).
+TEST (BatchPlace, WorkThatSeemsAboutToEndIsReliedOnOnce)
+{
+  BatchSite site (2, 1);
+
+  site.SubmitAndRun ("slow", 1, { { 1, 8 } }, 3000, 200);
+  Worker *slow = site.Busy ();
+  ASSERT_NE (slow, nullptr);
+  site.SubmitAndRun ("other", 1, { { 1, 8 } }, 60000, 2690);
+  slow->stuck = true;
+  site.Advance (200);
+  cb_msec_t accepted = site.now;
+  StepSpec urgent = { 1, 8 };
+  urgent.estimate_ms = 6000;
+  site.length_ms["u"] = 6000;
+  site.Submit ("u", 0, { urgent });
+  site.Advance (6000 / 2 + 250); // the rest of its objective, 1.5 times its work
+  EXPECT_EQ (site.first_start_ms.count ("u.0.0.0"), 1u);
+  EXPECT_GT (site.first_start_ms["u.0.0.0"], accepted);
+}
+
+// Guards against work that waits for the place that is emptied for it while another has
+// become free.
+TEST (BatchPlace, PlannedWorkTakesAPlaceThatIsFreeEarlier)
+{
+  BatchSite site (2, 1);
+
+  site.SubmitAndRun ("slow", 1, { { 1, 8 } }, 3000, 10);
+  site.length_ms["other"] = 3200;
+  site.SubmitAndRun ("other", 1, { { 1, 8 } }, 3200, 2690);
+  ASSERT_EQ (site.Running ("slow") + site.Running ("other"), 2);
+  for (auto &w : site.workers)
+    w->stuck = w->running.begin ()->first == "slow.0.0.0";
+  cb_msec_t accepted = site.now;
+  site.length_ms["u"] = 3000;
+  site.Submit ("u", 0, { { 1, 8 } });
+  /* The other place is free after 600 ms; a plan lasts for 1,000 ms. */
+  site.Advance (950);
+  ASSERT_EQ (site.first_start_ms.count ("u.0.0.0"), 1u);
+  EXPECT_LE (site.first_start_ms["u.0.0.0"] - accepted, 750);
+}
+
+// Guards against urgent work that is stopped for an equally urgent job with a guarantee
+// although its place would be free soon enough.
+TEST (BatchPlace, GuaranteeStopsEquallyUrgentWorkOnlyWhenItHasTo)
+{
+  BatchSite site (2, 1, { { "owner", 8 } });
+
+  site.SubmitAndRun ("lent", 0, { { 16, 1 } }, 2000, 1400, "other");
+  EXPECT_EQ (site.Running ("lent"), 16);
+  cb_msec_t accepted = site.now;
+  site.length_ms["own"] = 3000;
+  site.Submit ("own", 0, { { 1, 8 } }, "owner");
+  site.Advance (1000);
+  EXPECT_EQ (site.done.size (), 16u) << "tasks that were not stopped";
+  EXPECT_EQ (site.first_start_ms.count ("own.0.0.0"), 1u);
+  EXPECT_LE (site.first_start_ms["own.0.0.0"] - accepted, site.params.reclaim_ms);
+}
+
 // Of two kinds of work that could give way, the one that saves its progress does.
 TEST (BatchPlace, WorkThatSavesItsProgressGivesWayFirst)
 {
--- a/test/batch_worker.h
+++ b/test/batch_worker.h
@@ -71,6 +71,7 @@
   bool rejects = false; // starts
   bool stuck = false;   // tasks make no progress
   bool mute = false;    // it reports none, though they do
+  bool fails = false;   // every run shortly after its start
   uint64_t lease_ms = 0;
   uint32_t latency_ms = 0;  // of serving tasks, without others
   uint32_t disturb_ms = 60; // more for each task that fills at full pace
