Count a gang once in a plan; let a guarantee wait before it stops more than its work

And a gang that gives way counted with its whole loss for each of its members, so that urgent work that was worth more waited for the gang's end.

A plan counts the loss of a gang once.

Ruled out: that the plan for equally urgent work needs its own, second pass (the one pass gives the same tests and fewer plans).

--- a/batch/local.h
+++ b/batch/local.h
@@ -59,8 +59,9 @@
   uint32_t gang_failures;
   uint32_t gang_failed_run;
   uint32_t waves; /* rounds that its tasks take in its share of the fleet; 0: unknown */
-  gboolean advised;    /* runs only where the advisor allows it */
-  GHashTable *permits; /* worker -> permit_t of advice.c; NULL: nothing asked */
+  uint64_t stopped_by_plan; /* number of the latest plan that would stop the gang */
+  gboolean advised;         /* runs only where the advisor allows it */
+  GHashTable *permits;      /* worker -> permit_t of advice.c; NULL: nothing asked */
 } step_state_t;
 
 typedef struct
@@ -185,6 +186,7 @@
   GQueue records;      /* of Cb__BatchRecord, to be appended */
   double urgent_peak;  /* accelerators in use or wanted by urgent work, decayed */
   cb_msec_t urgent_ms; /* when it was updated */
+  uint64_t plans;      /* made so far, also those that were not carried out */
   gboolean dirty;      /* something changed that placement depends on */
   cb_batch_question_t *question; /* to the advisor; NULL: none */
   cb_msec_t placed_ms;
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -8,7 +8,7 @@
    this multiple of the job's own work. */
 #define LOSS_PER_WORK 1.0
 /* Share of the time in which guaranteed work has to start after which equally urgent
-   work is stopped for it: what is left is enough for two plans. */
+   work is stopped for it, at any cost: what is left is enough for two plans. */
 #define EQUALS_AFTER 0.3
 /* A run that ends within this time in ms beyond a stop's duration is not stopped. */
 #define ENDS_SOON_MS 150
@@ -62,12 +62,13 @@
 
 typedef struct
 {
-  const cb_batch_t *b;
+  cb_batch_t *b;
   const job_t *job; /* that the room is for */
   gboolean guaranteed;
   gboolean equals; /* equally urgent work without a guarantee gives way, too, and
                       workers that are not trusted are used */
   gboolean waits;  /* for the ends of others instead of stopping them */
+  uint64_t stamp;  /* of the plan that is made; marks gangs that it stops */
   cb_msec_t now_ms;
 } claim_t;
 
@@ -215,28 +216,53 @@
   return place;
 }
 
-/* Returns what stopping victims for one more task costs, with LEFT and USED as they are
-   then; below 0 when the worker cannot hold it. */
-static double
-extra_cost (const claim_t *claim, const place_t *place, const Cb__BatchStep *step,
-            room_t *left, guint *used)
+/* What one more task adds to a plan. */
+typedef struct
 {
-  double cost = 0;
+  double cost; /* core-ms, or ms to wait; below 0: the worker cannot hold the task */
+  room_t left; /* of the place then */
+  guint used;
+} price_t;
 
-  *left = place->left;
-  *used = place->used;
-  while (!room_fits (left, step))
+/* TRUE when the plan already stops the gang of victim number AT of PLACE, which is
+   stopped as a whole for its first member. */
+static gboolean
+is_gang_stopped (const claim_t *claim, const place_t *place, guint at)
+{
+  const step_state_t *gang = task_step (place->victims->pdata[at]);
+
+  if (gang->stopped_by_plan == claim->stamp)
+    return TRUE;
+  for (guint i = place->used; i < at; i++)
+    if (task_step (place->victims->pdata[i]) == gang)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns what the next task of STEP costs on PLACE. */
+static price_t
+price_of (const claim_t *claim, const place_t *place, const Cb__BatchStep *step)
+{
+  price_t price = { .left = place->left, .used = place->used };
+
+  while (!room_fits (&price.left, step))
     {
       const task_t *victim;
 
-      if (*used == place->victims->len)
-        return -1;
-      victim = place->victims->pdata[(*used)++];
-      room_give (left, task_spec (victim));
-      cost = claim->waits ? victim_cost (claim, victim)
-                          : cost + victim_cost (claim, victim);
+      if (price.used == place->victims->len)
+        {
+          price.cost = -1;
+          break;
+        }
+      victim = place->victims->pdata[price.used];
+      if (claim->waits)
+        price.cost = victim_cost (claim, victim);
+      else if (!task_spec (victim)->gang || !is_gang_stopped (claim, place, price.used))
+        price.cost += victim_cost (claim, victim);
+      room_give (&price.left, task_spec (victim));
+      price.used++;
     }
-  return cost;
+  return price;
 }
 
 /* Takes the cheapest place for TASK, in RACK unless it is NULL. */
@@ -246,32 +272,32 @@
 {
   const Cb__BatchStep *step = task_spec (task);
   place_t *best = NULL;
-  double best_cost = 0;
-  room_t left;
-  guint used;
+  price_t best_price = { 0 };
 
   for (guint i = 0; i < places->len; i++)
     {
       place_t *place = places->pdata[i];
-      double cost;
+      price_t price;
 
       if ((rack != NULL && strcmp (place->left.worker->rack, rack) != 0) ||
           (!claim->equals && !trust_allows (&place->left, task)) ||
           !room_allows (&place->left, task, place->taken))
         continue;
-      cost = extra_cost (claim, place, step, &left, &used);
-      if (cost >= 0 && (best == NULL || cost < best_cost))
+      price = price_of (claim, place, step);
+      if (price.cost >= 0 && (best == NULL || price.cost < best_price.cost))
         {
           best = place;
-          best_cost = cost;
+          best_price = price;
         }
     }
   if (best == NULL)
     return NULL;
-  best_cost = extra_cost (claim, best, step, &left, &used);
-  best->cost = claim->waits ? MAX (best->cost, best_cost) : best->cost + best_cost;
-  best->used = used;
-  best->left = left;
+  best->cost =
+      claim->waits ? MAX (best->cost, best_price.cost) : best->cost + best_price.cost;
+  for (guint i = best->used; i < best_price.used; i++)
+    task_step (best->victims->pdata[i])->stopped_by_plan = claim->stamp;
+  best->used = best_price.used;
+  best->left = best_price.left;
   best->taken++;
   room_take (&best->left, step);
   return best;
@@ -286,6 +312,7 @@
   GPtrArray *places = g_ptr_array_new_with_free_func (free_place);
   double cost = 0;
 
+  claim->stamp = ++claim->b->plans;
   for (guint i = 0; i < rooms->len; i++)
     g_ptr_array_add (places, new_place (claim, rooms->pdata[i]));
   for (uint32_t i = 0; i < count && cost >= 0; i++)
@@ -309,7 +336,8 @@
   return cost;
 }
 
-/* TRUE when what a plan destroys is worth less than what it makes possible. */
+/* TRUE when what a plan destroys is worth less than what it makes possible. A guarantee
+   that has waited is met at any cost. */
 static gboolean
 is_worth_it (const claim_t *claim, double cost, const Cb__BatchStep *step,
              uint32_t count)
@@ -317,7 +345,7 @@
   double work =
       task_cores (step) * count * (double)expected_ms (claim->b, claim->job->spec, 0);
 
-  return claim->guaranteed || cost <= LOSS_PER_WORK * work;
+  return claim->equals || cost <= LOSS_PER_WORK * work;
 }
 
 /* As make_plan, in the cheapest rack when the tasks should share one. */
@@ -357,19 +385,6 @@
   return best;
 }
 
-/* Returns the cheapest plan of CLAIM that is worth it: what is lost in core-ms, or
-   below 0 when there is none. */
-static double
-worthy_plan (claim_t *claim, GPtrArray *rooms, task_t **tasks, uint32_t count,
-             const worker_t **chosen, GPtrArray *victims)
-{
-  double cost = best_plan (claim, rooms, tasks, count, chosen, victims);
-
-  if (cost >= 0 && !is_worth_it (claim, cost, task_spec (tasks[0]), count))
-    cost = -1;
-  return cost;
-}
-
 /* Stops the cheapest work that has to give way to a job, so that COUNT of its tasks can
    start, and keeps the places for them. GUARANTEED: the job has a claim to them.
    Returns FALSE when there is no such work or it is worth more. */
@@ -380,16 +395,17 @@
   const worker_t **chosen = g_new0 (const worker_t *, count);
   GPtrArray *victims = g_ptr_array_new ();
   job_t *job = tasks[0]->job;
-  claim_t claim = { b, job, guaranteed, FALSE, FALSE, now_ms };
-  double cost = worthy_plan (&claim, rooms, tasks, count, chosen, victims);
-
-  if (cost < 0 && guaranteed &&
-      now_ms - job->folded_ms >= EQUALS_AFTER * (double)b->params.reclaim_ms)
-    {
-      claim.equals = TRUE;
-      g_ptr_array_set_size (victims, 0);
-      cost = worthy_plan (&claim, rooms, tasks, count, chosen, victims);
-    }
+  gboolean waited =
+      now_ms - job->folded_ms >= EQUALS_AFTER * (double)b->params.reclaim_ms;
+  claim_t claim = { .b = b,
+                    .job = job,
+                    .guaranteed = guaranteed,
+                    .equals = guaranteed && waited,
+                    .now_ms = now_ms };
+  double cost = best_plan (&claim, rooms, tasks, count, chosen, victims);
+
+  if (cost >= 0 && !is_worth_it (&claim, cost, task_spec (tasks[0]), count))
+    cost = -1;
   for (uint32_t i = 0; cost >= 0 && i < count; i++)
     {
       tasks[i]->planned = chosen[i];
@@ -416,7 +432,7 @@
 {
   const worker_t **chosen = g_new0 (const worker_t *, count);
   GPtrArray *awaited = g_ptr_array_new ();
-  claim_t claim = { b, tasks[0]->job, FALSE, FALSE, TRUE, now_ms };
+  claim_t claim = { .b = b, .job = tasks[0]->job, .waits = TRUE, .now_ms = now_ms };
   double wait_ms = best_plan (&claim, rooms, tasks, count, chosen, awaited);
 
   for (uint32_t i = 0; wait_ms >= 0 && i < count; i++)
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -85,6 +85,7 @@
   Advisor advisor;
   int refused_tickets = 0;
   int failed_runs = 0;
+  std::set<std::string> stopped; // tasks of which a run was stopped
   std::vector<std::vector<uint8_t> > log;
 
   BatchSite (int count, int per_rack, std::map<std::string, uint32_t> accounts = {})
@@ -314,6 +315,8 @@
     w.ended.push_back ({ ++w.ends, task, run.run, how, saved });
     if (how == CB__RUN_END__RUN_DONE)
       done.insert (task);
+    if (how == CB__RUN_END__RUN_STOPPED)
+      stopped.insert (task);
     if (run.step.gang)
       for (auto &other : workers)
         {
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -95,6 +95,41 @@
   EXPECT_LE (site.first_start_ms["own.0.0.0"] - accepted, site.params.reclaim_ms);
 }
 
+// Guards against a guarantee that stops a large gang at once although enough becomes
+// free in time (armor-grown scale-2: 36,000 core-seconds of a gang for 4 whole
+// workers).
+TEST (BatchPlace, GuaranteeWaitsBeforeItStopsMoreThanItsOwnWork)
+{
+  BatchSite site (3, 1, { { "owner", 8 } });
+
+  site.SubmitAndRun ("gang", 1, { { 2, 8, 1000, true } }, 60000, 20000);
+  site.SubmitAndRun ("lent", 0, { { 8, 1 } }, 2000, 1400, "other");
+  EXPECT_EQ (site.Running ("lent"), 8);
+  cb_msec_t accepted = site.now;
+  site.length_ms["own"] = 3000;
+  site.Submit ("own", 0, { { 1, 8 } }, "owner");
+  site.Advance (site.params.reclaim_ms);
+  EXPECT_EQ (site.stopped, std::set<std::string> ());
+  ASSERT_EQ (site.first_start_ms.count ("own.0.0.0"), 1u);
+  EXPECT_LE (site.first_start_ms["own.0.0.0"] - accepted, site.params.reclaim_ms);
+}
+
+// Guards against a gang whose loss counts once for each member that gives way: urgent
+// work that is worth more than the gang's loss waited for the gang's end.
+TEST (BatchPlace, GangGivesWayAtItsCostOnce)
+{
+  BatchSite site (2, 2);
+  StepSpec urgent = { 2, 8, 1000, true };
+
+  urgent.estimate_ms = 9000;
+  site.SubmitAndRun ("gang", 1, { { 2, 8, 1000, true } }, 60000, 6000);
+  EXPECT_EQ (site.Running ("gang"), 2);
+  site.length_ms["u"] = 9000;
+  site.Submit ("u", 0, { urgent });
+  site.Advance (1000);
+  EXPECT_EQ (site.Running ("u"), 2);
+}
+
 // Of two kinds of work that could give way, the one that saves its progress does.
 TEST (BatchPlace, WorkThatSavesItsProgressGivesWayFirst)
 {
