--- a/batch/fns.h
+++ b/batch/fns.h
@@ -26,6 +26,9 @@
 uint64_t cb_batch_epoch (const cb_batch_t *batch);
 const char *cb_batch_scheduler (const cb_batch_t *batch);
 cb_msec_t cb_batch_scheduler_seen_ms (const cb_batch_t *batch);
+gboolean cb_batch_claim_rank (const cb_batch_t *batch, const char *name,
+                              uint32_t *rank);
+uint32_t cb_batch_entry_count (const cb_batch_t *batch);
 cb_job_status_t cb_batch_job_status (const cb_batch_t *batch, const char *job);
 uint32_t cb_batch_pending_jobs (const cb_batch_t *batch, const char *queue);
 void cb_batch_totals (const cb_batch_t *batch, cb_batch_totals_t *totals);
@@ -69,6 +72,10 @@
 Cb__BatchRecord *cb_batch_pop_record (cb_batch_t *batch);
 void cb_batch_append_failed (cb_batch_t *batch, const Cb__BatchRecord *record);
 gboolean cb_batch_commands_changed (cb_batch_t *batch, const char *agent);
+void cb_batch_foreach_changed (cb_batch_t *batch,
+                               void (*fn) (void *ctx, const char *agent), void *ctx);
+gboolean cb_batch_commands_due (const cb_batch_t *batch, const char *agent);
+cb_msec_t cb_batch_report_interval_ms (const cb_batch_t *batch);
 Cb__WorkerOrders *cb_batch_build_commands (cb_batch_t *batch, const char *agent,
                                            gboolean may_grant, cb_msec_t now_ms);
 
--- a/batch/fold.c
+++ b/batch/fold.c
@@ -135,7 +135,9 @@
     }
   g_free (agent->address);
   agent->address = g_strdup (message->address);
+  b->entry_count += (message->entry != 0) - (agent->entry != 0);
   agent->entry = message->entry;
+  agent->cpu_milli = message->cpu_milli;
 }
 
 /* Records how long JOB waited for its first run. Only the scheduler does so, so that
@@ -181,11 +183,11 @@
   observe_wait (b, task->job, now_ms);
   task->job->started = TRUE;
   attach_task (get_worker (b, start->worker, start->born_ms, start->agent), task);
-  task->worker->commands_changed = TRUE;
+  change_commands (b, task->worker);
 }
 
 static void
-finish_gang (step_state_t *step)
+finish_gang (cb_batch_t *b, step_state_t *step)
 {
   for (uint32_t t = 0; t < step->count; t++)
     {
@@ -194,7 +196,7 @@
       if (task->state == TASK_DONE)
         continue;
       if (task->worker != NULL)
-        task->worker->commands_changed = TRUE;
+        change_commands (b, task->worker);
       detach_task (task);
       task->proposed_start = FALSE;
       set_state (task, TASK_DONE);
@@ -235,11 +237,9 @@
 apply_end (cb_batch_t *b, const Cb__TaskEnd *end, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   task_t *task = find_task (b, end->run);
-  worker_t *w;
 
   if (task == NULL || task->state != TASK_STARTED || task->run != end->run->run)
     return;
-  w = task->worker;
   learn_run_end (b, task, end->how, now_ms);
   if (end->saved[0] != '\0')
     {
@@ -248,13 +248,12 @@
     }
   detach_task (task);
   task->proposed_end = FALSE;
-  w->commands_changed = TRUE;
   set_state (task, TASK_WAITING);
   if (end->how == CB__RUN_END__RUN_DONE && !task_spec (task)->daemon)
     {
       set_state (task, TASK_DONE);
       if (task_spec (task)->gang)
-        finish_gang (task_step (task));
+        finish_gang (b, task_step (task));
       end_job_if_completed (task->job, wall_ms);
     }
   else if (end->how == CB__RUN_END__RUN_FAILED)
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -7,10 +7,13 @@
 /* Longest time between two placement passes when nothing has changed. */
 #define PLACE_INTERVAL_MS 100
 /* A new scheduler places nothing until as many workers have reported as its predecessor
-   could use, but waits for at most this time. If it placed work at once, work that can
-   wait would be placed on the first wholly free workers that report, and urgent work
-   would find none. Workers report within 0.1 s of the connection. */
+   could use. If it placed work at once, work that can wait would be placed on the first
+   wholly free workers that report, and urgent work would find none. It waits for at
+   least FLEET_WAIT_MS, then as long as further workers report within FLEET_PAUSE_MS of
+   each other, up to FLEET_WAIT_MAX_MS. */
 #define FLEET_WAIT_MS 300
+#define FLEET_PAUSE_MS 100
+#define FLEET_WAIT_MAX_MS 1500
 
 static void
 reset_task (task_t *task)
@@ -80,7 +83,8 @@
       w->successor = NULL;
       w->clock_ms = 0;
       w->last_durable_end = 0;
-      w->commands_changed = TRUE;
+      w->granted_clock_ms = 0;
+      change_commands (b, w);
       w->lease_end_ms = latest_lease_end (b, now_ms + TAKEOVER_GRANT_MS);
       g_ptr_array_set_size (w->unwanted_runs, 0);
     }
@@ -179,7 +183,7 @@
     return;
   task->stop_requested = TRUE;
   task->stop_requested_ms = now_ms;
-  task->worker->commands_changed = TRUE;
+  change_commands (b, task->worker);
   cb_event (CB_LOG_INFO, "batch", "run_stop",
             "job=%s task=%u.%u.%u run=%u worker=%s why=%s percent=%u",
             task->job->spec->id, task->occurrence, task->step, task->index, task->run,
@@ -207,13 +211,15 @@
 static gboolean
 is_fleet_known (cb_batch_t *b, cb_msec_t now_ms)
 {
+  cb_msec_t waited_ms = now_ms - b->scheduler_since_ms;
   cb_batch_totals_t totals;
 
   if (b->fleet_known)
     return TRUE;
   cb_batch_totals (b, &totals);
-  b->fleet_known = totals.workers >= b->expected_workers ||
-                   now_ms - b->scheduler_since_ms >= FLEET_WAIT_MS;
+  b->fleet_known =
+      totals.workers >= b->expected_workers || waited_ms >= FLEET_WAIT_MAX_MS ||
+      (waited_ms >= FLEET_WAIT_MS && now_ms - b->worker_reported_ms >= FLEET_PAUSE_MS);
   /* after_ms: since this process became the scheduler. */
   if (b->fleet_known)
     cb_event (CB_LOG_INFO, "batch", "settled",
--- a/batch/learn.c
+++ b/batch/learn.c
@@ -61,11 +61,10 @@
 remaining_ms (const cb_batch_t *b, const task_t *task, cb_msec_t now_ms)
 {
   cb_msec_t ran_ms = now_ms - task->started_ms;
-  cb_msec_t expected = expected_task_ms (b, task->job->spec, task->step);
 
   if (task->percent > 0 && task->percent <= 100 && ran_ms > 0)
     return MAX (1, ran_ms * (100 - (cb_msec_t)task->percent) / task->percent);
-  return MAX (1, expected - ran_ms);
+  return MAX (1, expected_task_ms (b, task->job->spec, task->step) - ran_ms);
 }
 
 /* Returns the critical path of an occurrence in ms: the longest chain of expected run
--- a/batch/local.h
+++ b/batch/local.h
@@ -13,6 +13,7 @@
 
 typedef struct job job_t;
 typedef struct worker worker_t;
+typedef struct capacity capacity_t;
 
 typedef enum
 {
@@ -92,6 +93,8 @@
   cb_msec_t applied_ms;    /* when the submit record was applied, local clock */
   cb_msec_t ended_wall_ms; /* wall clock; 0: has not ended */
   uint32_t open_runs;      /* tasks in TASK_STARTED */
+  gboolean guaranteed;     /* covered by its account's guarantee, as of the latest
+                              placement pass */
   cb_msec_t idle_since_ms; /* end of its latest run, or applied_ms */
 };
 
@@ -118,14 +121,15 @@
   /* Next incarnation under the same id, which may still execute a start command that
      was sent to this one. NULL: none. */
   worker_t *successor;
-  uint64_t clock_ms;       /* the worker's clock in the latest report; 0: none */
-  cb_msec_t drain_left_ms; /* in the latest report: time until it shuts down */
-  cb_msec_t reported_ms;   /* when the latest report with new lists arrived */
-  cb_msec_t lease_end_ms;  /* when every lease granted to the worker has expired */
-  uint64_t granted_clock_ms;
+  uint64_t clock_ms;         /* the worker's clock in the latest report; 0: none */
+  cb_msec_t drain_left_ms;   /* in the latest report: time until it shuts down */
+  cb_msec_t reported_ms;     /* when the latest report with new lists arrived */
+  cb_msec_t lease_end_ms;    /* when every lease granted to the worker has expired */
+  uint64_t granted_clock_ms; /* the worker's clock from which its lease counts */
   uint64_t last_durable_end; /* its ends up to this number are in the log */
   GPtrArray *unwanted_runs;  /* of Cb__TaskRun: reported, but not current */
   gboolean commands_changed;
+  capacity_t *capacity;          /* in the current placement pass; NULL: none */
   uint32_t filler_percent;       /* CPU share granted to its filler tasks, see pace.c */
   cb_msec_t pace_changed_ms;     /* when filler_percent last changed */
   cb_msec_t latency_ok_since_ms; /* since when latencies are well below their targets */
@@ -152,7 +156,7 @@
 
 /* Capacity of a worker that a placement pass may still allocate. Negative values: more
    is reserved for planned tasks than is free at present. */
-typedef struct
+struct capacity
 {
   worker_t *worker;
   int64_t cpu_milli;
@@ -162,13 +166,34 @@
   trust_t trust;
   gboolean gang_probe;    /* on TRUST_PROBE: also a gang member may run */
   uint32_t reserved_from; /* closed to this priority number and above; 0: to none */
-} capacity_t;
+  /* The worker's tasks by the cost of a stop, and by their expected ends, see
+     reclaim.c. NULL: not needed yet in this pass. */
+  GArray *by_stop_cost;
+  GArray *by_end;
+};
+
+/* One placement pass. */
+typedef struct
+{
+  cb_batch_t *b;
+  cb_msec_t now_ms;
+  GPtrArray *capacities; /* of capacity_t, sorted by worker id, owned */
+  GPtrArray *racks;      /* of GPtrArray: the capacities of each rack */
+  /* Of miss_t of place.c: what has found no capacity, and what no preemption could make
+     room for. */
+  GArray *fit_misses;
+  GArray *plan_misses;
+  /* How many more workers the plans of this pass may look at, see reclaim.c. */
+  int64_t preemption_budget;
+  int64_t reservation_budget;
+} pass_t;
 
 typedef struct
 {
   char *name;
   char *address;
   gboolean entry;
+  uint32_t cpu_milli; /* of an entry: its share of a core; 0: not stated */
 } agent_t;
 
 /* Moving average of the run times of a queue's tasks. */
@@ -182,11 +207,14 @@
 {
   cb_batch_params_t params;
   cb_batch_config_t *config;
-  GHashTable *jobs;      /* id -> job_t */
-  GQueue job_list;       /* of job_t in order of acceptance, also ended ones */
-  GHashTable *workers;   /* id/incarnation -> worker_t */
-  GHashTable *agents;    /* name -> agent_t */
-  GHashTable *run_times; /* queue -> run_time_t */
+  GHashTable *jobs;             /* id -> job_t */
+  GQueue job_list;              /* of job_t in order of acceptance, also ended ones */
+  GHashTable *workers;          /* id/incarnation -> worker_t */
+  GHashTable *workers_of_agent; /* agent -> GPtrArray of worker_t, not owned */
+  GPtrArray *changed_workers;   /* of worker_t: their commands may have changed */
+  GHashTable *agents;           /* name -> agent_t */
+  uint32_t entry_count;         /* agents that are entries */
+  GHashTable *run_times;        /* queue -> run_time_t */
   GHashTable *fleet; /* service -> Cb__FleetSums of the scheduler's latest heartbeat */
   uint64_t epoch;    /* of the latest valid claim; 0: none */
   char *scheduler;   /* entry that made this claim */
@@ -197,6 +225,7 @@
   cb_msec_t scheduler_since_ms; /* when own_epoch was set */
   gboolean fleet_known;         /* enough workers have reported to place work */
   uint32_t expected_workers;    /* workers in the previous scheduler's heartbeat */
+  cb_msec_t worker_reported_ms; /* when a worker last reported for the first time */
   GQueue records;               /* of Cb__BatchRecord, to be appended to the log */
   double urgent_peak;  /* accelerators in use or wanted by urgent work, decayed */
   cb_msec_t urgent_ms; /* when it was updated */
@@ -209,6 +238,15 @@
 /* CPU share, in percent, of filler tasks that are not slowed down. */
 #define FULL_PERCENT 100
 
+/* Outcome of the search for work to preempt. */
+typedef enum
+{
+  PLAN_MADE,
+  PLAN_IMPOSSIBLE, /* no preemption makes room */
+  PLAN_TOO_COSTLY, /* it would destroy more work than it makes possible */
+  PLAN_NOT_TRIED,  /* the pass has looked at as many workers as it may */
+} plan_result_t;
+
 /* A lease is counted on the worker's clock. Seen from here it has expired after
    hold_max_ms x LEASE_SLACK + LEASE_MARGIN_MS: the platform specifies clocks that are
    up to 2% slow, and the report that a lease is counted from takes time to arrive. */
@@ -229,12 +267,20 @@
 cb_msec_t occurrence_due_ms (const job_t *job, uint32_t occurrence);
 gboolean step_ready (const job_t *job, uint32_t occurrence, uint32_t step,
                      cb_msec_t wall_ms);
+job_t *add_job (cb_batch_t *b, const Cb__BatchJob *spec, cb_msec_t now_ms);
+Cb__TaskRun *task_run_new (const task_t *task, uint32_t run);
+
+/* workers.c */
+GHashTable *workers_table_new (void);
+GHashTable *workers_of_agent_new (void);
+const GPtrArray *agent_workers (const cb_batch_t *b, const char *agent);
+worker_t *current_worker (const cb_batch_t *b, const char *agent);
 worker_t *get_worker (cb_batch_t *b, const char *id, uint64_t incarnation_ms,
                       const char *agent);
+void change_commands (cb_batch_t *b, worker_t *w);
+void remove_terminated_workers (cb_batch_t *b);
 void attach_task (worker_t *w, task_t *task);
 void detach_task (task_t *task);
-job_t *add_job (cb_batch_t *b, const Cb__BatchJob *spec, cb_msec_t now_ms);
-Cb__TaskRun *task_run_new (const task_t *task, uint32_t run);
 
 /* lead.c */
 void propose_end (cb_batch_t *b, task_t *task, Cb__RunEnd how, const char *checkpoint);
@@ -244,12 +290,15 @@
 
 /* report.c */
 cb_msec_t latest_lease_end (const cb_batch_t *b, cb_msec_t granted_ms);
+cb_msec_t report_max_age_ms (const cb_batch_t *b);
 
 /* watch.c */
 void check_workers (cb_batch_t *b, cb_msec_t now_ms);
 
 /* room.c */
-GPtrArray *list_capacities (cb_batch_t *b, cb_msec_t now_ms);
+pass_t *pass_new (cb_batch_t *b, cb_msec_t now_ms);
+void capacity_forget_order (capacity_t *capacity);
+void pass_free (pass_t *pass);
 gboolean capacity_fits (const capacity_t *capacity, const Cb__BatchStep *step);
 uint32_t step_waves (const GPtrArray *capacities, const Cb__BatchStep *step);
 void reserve_for_urgent (GPtrArray *capacities);
@@ -259,9 +308,7 @@
 gboolean worker_suits (const worker_t *w, const task_t *task);
 gboolean capacity_allows (const capacity_t *capacity, const task_t *task,
                           uint32_t n_chosen);
-gboolean fit_group (GPtrArray *capacities, task_t **tasks, uint32_t count,
-                    const char *rack, reach_t reach, capacity_t **chosen);
-gboolean fit_step (GPtrArray *capacities, task_t **tasks, uint32_t count, reach_t reach,
+gboolean fit_step (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
                    capacity_t **chosen);
 
 /* trust.c */
@@ -273,13 +320,22 @@
                              cb_msec_t now_ms);
 gboolean trust_allows (const capacity_t *capacity, const task_t *task);
 
+/* misses.c */
+void note_fit_miss (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach);
+gboolean is_fit_missed (const pass_t *pass, task_t **tasks, uint32_t count,
+                        reach_t reach);
+void note_plan_miss (pass_t *pass, task_t **tasks, uint32_t count, gboolean guaranteed,
+                     plan_result_t result);
+gboolean is_plan_missed (const pass_t *pass, task_t **tasks, uint32_t count,
+                         gboolean guaranteed);
+
 /* reclaim.c */
-gboolean job_is_guaranteed (const cb_batch_t *b, const job_t *job);
+void update_guarantees (cb_batch_t *b);
+gboolean preempts_equals (const pass_t *pass, const job_t *job, gboolean guaranteed);
 void update_ending (const cb_batch_t *b, task_t *task, cb_msec_t now_ms);
-gboolean preempt_and_plan (cb_batch_t *b, GPtrArray *capacities, task_t **tasks,
-                           uint32_t count, gboolean guaranteed, cb_msec_t now_ms);
-void reserve_awaited (cb_batch_t *b, GPtrArray *capacities, task_t **tasks,
-                      uint32_t count, cb_msec_t now_ms);
+plan_result_t preempt_and_plan (pass_t *pass, task_t **tasks, uint32_t count,
+                                gboolean guaranteed);
+void reserve_awaited (pass_t *pass, task_t **tasks, uint32_t count);
 
 /* advice.c */
 void advice_clear (step_state_t *step);
@@ -292,7 +348,7 @@
                              gboolean ask_all);
 
 /* pace.c */
-void pace_update (worker_t *w, cb_msec_t now_ms);
+void pace_update (cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
 void pace_add_commands (const worker_t *w, Cb__WorkerOrders *commands);
 
 /* place.c */
--- a/batch/orders.c
+++ b/batch/orders.c
@@ -2,26 +2,9 @@
    paces. */
 #include "batch/local.h"
 
-#include <string.h>
-
-/* Returns the current worker of AGENT; NULL when it has not reported to this
-   scheduler. */
-static worker_t *
-current_worker (const cb_batch_t *b, const char *agent)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, b->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      worker_t *w = value;
-
-      if (!w->terminated && w->clock_ms != 0 && strcmp (w->agent, agent) == 0)
-        return w;
-    }
-  return NULL;
-}
+/* A lease is renewed when the worker's clock has advanced by this time since the last
+   renewal. */
+#define LEASE_RENEWAL_MS 400
 
 /* Returns TRUE once after the commands for AGENT's worker changed in a way that should
    not wait for its next report. */
@@ -36,6 +19,46 @@
   return changed;
 }
 
+/* Calls FN for each agent whose worker's commands changed since the last call, and for
+   which cb_batch_build_commands has not been called since. */
+void
+cb_batch_foreach_changed (cb_batch_t *b, void (*fn) (void *ctx, const char *agent),
+                          void *ctx)
+{
+  for (guint i = 0; i < b->changed_workers->len; i++)
+    {
+      worker_t *w = b->changed_workers->pdata[i];
+
+      if (w->commands_changed && current_worker (b, w->agent) == w)
+        fn (ctx, w->agent);
+    }
+  g_ptr_array_set_size (b->changed_workers, 0);
+}
+
+/* TRUE when AGENT should get its commands now that it has reported: the lease has not
+   been renewed for a while, or the report shows that commands have not taken effect
+   yet. */
+gboolean
+cb_batch_commands_due (const cb_batch_t *b, const char *agent)
+{
+  const worker_t *w = current_worker (b, agent);
+
+  if (w == NULL)
+    return FALSE;
+  if (w->commands_changed || w->unwanted_runs->len > 0 ||
+      w->clock_ms >= w->granted_clock_ms + LEASE_RENEWAL_MS)
+    return TRUE;
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const task_t *task = w->tasks->pdata[i];
+
+      if (task->state == TASK_STARTED && (task->stop_requested || !task->reported) &&
+          !task->proposed_end)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 add_start (Cb__WorkerOrders *commands, const task_t *task)
 {
@@ -56,13 +79,11 @@
 add_stops_of_predecessors (const cb_batch_t *b, Cb__WorkerOrders *commands,
                            const worker_t *w)
 {
-  GHashTableIter iter;
-  gpointer value;
+  const GPtrArray *workers = agent_workers (b, w->agent);
 
-  g_hash_table_iter_init (&iter, b->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint k = 0; k < workers->len; k++)
     {
-      const worker_t *predecessor = value;
+      const worker_t *predecessor = workers->pdata[k];
 
       for (guint i = 0; predecessor->successor == w && i < predecessor->tasks->len; i++)
         {
@@ -90,12 +111,15 @@
   (void)now_ms;
   if (w == NULL)
     return commands;
+  w->commands_changed = FALSE;
   cb_msg_set_string (&commands->worker, w->id);
   commands->born_ms = w->incarnation_ms;
   commands->last_seen = w->last_durable_end;
+  commands->report_interval_ms = (uint32_t)cb_batch_report_interval_ms (b);
   if (may_grant && w->reporting)
     {
       commands->lease_until_ms = w->clock_ms + (uint64_t)b->params.hold_max_ms;
+      w->granted_clock_ms = w->clock_ms;
       w->lease_end_ms = latest_lease_end (b, w->reported_ms);
     }
   for (guint i = 0; i < w->tasks->len; i++)
--- a/batch/pace.c
+++ b/batch/pace.c
@@ -22,7 +22,7 @@
 
 /* Sets the CPU share of the filler tasks on W by the latencies in its latest report. */
 void
-pace_update (worker_t *w, cb_msec_t now_ms)
+pace_update (cb_batch_t *b, worker_t *w, cb_msec_t now_ms)
 {
   gboolean over = FALSE;
   gboolean latency_ok = TRUE;
@@ -47,7 +47,7 @@
   if (w->filler_percent == before)
     return;
   w->pace_changed_ms = now_ms;
-  w->commands_changed = TRUE;
+  change_commands (b, w);
   cb_event (CB_LOG_INFO, "batch", "fill_pace",
             "worker=%s percent=%u before=%u over=%d report_age_ms=%" PRId64, w->id,
             w->filler_percent, before, over, now_ms - w->reported_ms);
--- a/batch/place.c
+++ b/batch/place.c
@@ -22,6 +22,12 @@
 #define IDLE_UTILIZATION 0.55
 #define IDLE_WAIT_MS 1200
 
+/* A pass looks for work to preempt, and for capacity to reserve, on at most this many
+   workers, summed over all plans, or as many plans as PLANS_MIN. The work of a pass
+   then doesn't grow with the number of waiting steps. */
+#define PLANNED_WORKERS_MAX 6000
+#define PLANS_MIN 8
+
 /* A step that is ready and has waiting tasks. */
 typedef struct
 {
@@ -97,7 +103,7 @@
   demand.reach = demand.idle                                  ? REACH_ALL
                  : job->spec->priority == 0 || demand.at_risk ? REACH_RESERVED
                                                               : REACH_SHARED;
-  demand.guaranteed = job_is_guaranteed (b, job);
+  demand.guaranteed = job->guaranteed;
   g_array_append_val (demands, demand);
 }
 
@@ -148,27 +154,21 @@
   return tasks;
 }
 
-static capacity_t *
-capacity_of (GPtrArray *capacities, const worker_t *w)
-{
-  for (guint i = 0; i < capacities->len; i++)
-    if (((capacity_t *)capacities->pdata[i])->worker == w)
-      return capacities->pdata[i];
-  return NULL;
-}
-
 /* Returns the capacity of the worker that the preemption plan of TASK selected, or NULL
    without a plan. Drops a plan that has expired or whose worker cannot be used any
    more. */
 static capacity_t *
-planned_capacity (const cb_batch_t *b, GPtrArray *capacities, task_t *task,
-                  cb_msec_t now_ms)
+planned_capacity (const pass_t *pass, task_t *task)
 {
   capacity_t *capacity = NULL;
 
-  if (task->planned_worker != NULL &&
-      now_ms - task->planned_ms < b->params.stop_ms + PLAN_MARGIN_MS)
-    capacity = capacity_of (capacities, task->planned_worker);
+  for (guint i = 0;
+       task->planned_worker != NULL && capacity == NULL &&
+       pass->now_ms - task->planned_ms < pass->b->params.stop_ms + PLAN_MARGIN_MS &&
+       i < pass->capacities->len;
+       i++)
+    if (((capacity_t *)pass->capacities->pdata[i])->worker == task->planned_worker)
+      capacity = pass->capacities->pdata[i];
   if (capacity != NULL && !capacity_allows (capacity, task, 0))
     capacity = NULL;
   if (capacity == NULL)
@@ -176,11 +176,10 @@
   return capacity;
 }
 
-/* Deducts the capacity that earlier plans reserve from CAPACITIES, so that nothing else
-   is placed there. */
+/* Deducts the capacity that earlier plans reserve, so that nothing else is placed
+   there. */
 static void
-reserve_plans (const cb_batch_t *b, GPtrArray *capacities, const GArray *demands,
-               cb_msec_t now_ms)
+reserve_plans (const pass_t *pass, const GArray *demands)
 {
   for (guint i = 0; i < demands->len; i++)
     {
@@ -191,9 +190,8 @@
       for (uint32_t t = 0; t < step->count; t++)
         {
           task_t *task = &step->tasks[t];
-          capacity_t *capacity = task->planned_worker == NULL
-                                     ? NULL
-                                     : planned_capacity (b, capacities, task, now_ms);
+          capacity_t *capacity =
+              task->planned_worker == NULL ? NULL : planned_capacity (pass, task);
 
           if (capacity != NULL)
             capacity_take (capacity, task_spec (task));
@@ -204,14 +202,13 @@
 /* Gives back the capacity that plans reserve for COUNT tasks, and lists the planned
    workers in CHOSEN. Returns FALSE unless all the tasks have a valid plan. */
 static gboolean
-release_plan (const cb_batch_t *b, GPtrArray *capacities, task_t **tasks,
-              uint32_t count, capacity_t **chosen, cb_msec_t now_ms)
+release_plan (const pass_t *pass, task_t **tasks, uint32_t count, capacity_t **chosen)
 {
   gboolean valid = TRUE;
 
   for (uint32_t i = 0; i < count; i++)
     {
-      chosen[i] = planned_capacity (b, capacities, tasks[i], now_ms);
+      chosen[i] = planned_capacity (pass, tasks[i]);
       valid = valid && chosen[i] != NULL;
       if (chosen[i] != NULL)
         capacity_release (chosen[i], task_spec (tasks[i]));
@@ -221,8 +218,7 @@
 
 /* Starts COUNT tasks on the workers of CHOSEN, and drops any plans for the tasks. */
 static void
-start_chosen (cb_batch_t *b, task_t **tasks, capacity_t **chosen, uint32_t count,
-              cb_msec_t now_ms)
+start_chosen (const pass_t *pass, task_t **tasks, capacity_t **chosen, uint32_t count)
 {
   worker_t **workers = g_new (worker_t *, count);
 
@@ -230,15 +226,15 @@
     {
       workers[i] = chosen[i]->worker;
       tasks[i]->planned_worker = NULL;
+      capacity_forget_order (chosen[i]);
     }
-  start_tasks (b, tasks, workers, count, now_ms);
+  start_tasks (pass->b, tasks, workers, count, pass->now_ms);
   g_free (workers);
 }
 
 /* Deducts the capacity of a plan, and starts the tasks there when all of it is free. */
 static void
-take_planned (cb_batch_t *b, task_t **tasks, capacity_t **planned, uint32_t count,
-              cb_msec_t now_ms)
+take_planned (const pass_t *pass, task_t **tasks, capacity_t **planned, uint32_t count)
 {
   gboolean free_now = TRUE;
 
@@ -248,26 +244,38 @@
       capacity_take (planned[i], task_spec (tasks[i]));
     }
   if (free_now)
-    start_chosen (b, tasks, planned, count, now_ms);
+    start_chosen (pass, tasks, planned, count);
+}
+
+/* As fit_step, but gives up at once what a miss of this pass rules out. */
+static gboolean
+fit_unless_missed (pass_t *pass, const demand_t *demand, task_t **tasks, uint32_t count,
+                   capacity_t **chosen)
+{
+  if (is_fit_missed (pass, tasks, count, demand->reach))
+    return FALSE;
+  if (fit_step (pass, tasks, count, demand->reach, chosen))
+    return TRUE;
+  note_fit_miss (pass, tasks, count, demand->reach);
+  return FALSE;
 }
 
 /* Handles COUNT tasks that have a plan: starts them on any workers with free capacity,
    or else keeps the planned capacity reserved and starts them there once it is free.
    Returns FALSE when not all of them have a valid plan. */
 static gboolean
-follow_plan (cb_batch_t *b, GPtrArray *capacities, const demand_t *demand,
-             task_t **tasks, uint32_t count, cb_msec_t now_ms)
+follow_plan (pass_t *pass, const demand_t *demand, task_t **tasks, uint32_t count)
 {
   capacity_t **planned = g_new0 (capacity_t *, count);
   capacity_t **chosen = g_new0 (capacity_t *, count);
-  gboolean valid = release_plan (b, capacities, tasks, count, planned, now_ms);
+  gboolean valid = release_plan (pass, tasks, count, planned);
 
   for (uint32_t i = 0; i < count && !valid; i++)
     tasks[i]->planned_worker = NULL;
-  if (valid && fit_step (capacities, tasks, count, demand->reach, chosen))
-    start_chosen (b, tasks, chosen, count, now_ms);
+  if (valid && fit_step (pass, tasks, count, demand->reach, chosen))
+    start_chosen (pass, tasks, chosen, count);
   else if (valid)
-    take_planned (b, tasks, planned, count, now_ms);
+    take_planned (pass, tasks, planned, count);
   g_free (planned);
   g_free (chosen);
   return valid;
@@ -275,17 +283,34 @@
 
 /* Deducts the capacity of the plan that was just made for COUNT tasks. */
 static void
-take_new_plan (cb_batch_t *b, GPtrArray *capacities, task_t **tasks, uint32_t count,
-               cb_msec_t now_ms)
+take_new_plan (const pass_t *pass, task_t **tasks, uint32_t count)
 {
   capacity_t **planned = g_new0 (capacity_t *, count);
 
   for (uint32_t i = 0; i < count; i++)
-    planned[i] = capacity_of (capacities, tasks[i]->planned_worker);
-  take_planned (b, tasks, planned, count, now_ms);
+    planned[i] = tasks[i]->planned_worker->capacity;
+  take_planned (pass, tasks, planned, count);
   g_free (planned);
 }
 
+/* Preempts work for COUNT tasks, unless a miss of this pass rules that out, and plans
+   their start. */
+static gboolean
+preempt_unless_missed (pass_t *pass, const demand_t *demand, task_t **tasks,
+                       uint32_t count)
+{
+  plan_result_t result;
+
+  if (is_plan_missed (pass, tasks, count, demand->guaranteed))
+    return FALSE;
+  result = preempt_and_plan (pass, tasks, count, demand->guaranteed);
+  if (result == PLAN_MADE)
+    take_new_plan (pass, tasks, count);
+  else if (result != PLAN_NOT_TRIED)
+    note_plan_miss (pass, tasks, count, demand->guaranteed, result);
+  return result == PLAN_MADE;
+}
+
 /* TRUE when running work may be preempted for DEMAND: always for urgent work; for other
    work only once it would be late otherwise. */
 static gboolean
@@ -299,25 +324,22 @@
    and for urgent work and steps at risk the capacity that is expected to become free
    first is reserved. */
 static gboolean
-place_together (cb_batch_t *b, GPtrArray *capacities, const demand_t *demand,
-                task_t **tasks, uint32_t count, gboolean preempt, cb_msec_t now_ms)
+place_together (pass_t *pass, const demand_t *demand, task_t **tasks, uint32_t count,
+                gboolean preempt)
 {
-  capacity_t **chosen = g_new0 (capacity_t *, count);
+  capacity_t **chosen;
   gboolean placed = TRUE;
 
-  if (!follow_plan (b, capacities, demand, tasks, count, now_ms))
+  if (follow_plan (pass, demand, tasks, count))
+    return TRUE;
+  chosen = g_new0 (capacity_t *, count);
+  if (fit_unless_missed (pass, demand, tasks, count, chosen))
+    start_chosen (pass, tasks, chosen, count);
+  else if (!preempt || !preempt_unless_missed (pass, demand, tasks, count))
     {
-      placed = fit_step (capacities, tasks, count, demand->reach, chosen);
-      if (placed)
-        start_chosen (b, tasks, chosen, count, now_ms);
-      else if (preempt && preempt_and_plan (b, capacities, tasks, count,
-                                            demand->guaranteed, now_ms))
-        {
-          placed = TRUE;
-          take_new_plan (b, capacities, tasks, count, now_ms);
-        }
-      else if (demand->job->spec->priority == 0 || demand->at_risk)
-        reserve_awaited (b, capacities, tasks, count, now_ms);
+      placed = FALSE;
+      if (demand->job->spec->priority == 0 || demand->at_risk)
+        reserve_awaited (pass, tasks, count);
     }
   g_free (chosen);
   return placed;
@@ -333,35 +355,34 @@
 }
 
 static void
-place_step (cb_batch_t *b, GPtrArray *capacities, const demand_t *demand,
-            cb_msec_t now_ms)
+place_step (pass_t *pass, const demand_t *demand)
 {
   step_state_t *step =
       &demand->job->occurrences[demand->occurrence].steps[demand->step];
   const Cb__BatchStep *spec = demand->job->spec->steps[demand->step];
   uint32_t count;
-  task_t **tasks = waiting_tasks (step, now_ms, &count);
+  task_t **tasks = waiting_tasks (step, pass->now_ms, &count);
   uint32_t wave_size = (step->count + MAX (1, step->waves) - 1) / MAX (1, step->waves);
 
-  advice_refresh (b, demand->job, step, now_ms);
+  advice_refresh (pass->b, demand->job, step, pass->now_ms);
   for (uint32_t i = 0; i < count; i++)
-    trust_update_failed_on (capacities, tasks[i], now_ms);
+    trust_update_failed_on (pass->capacities, tasks[i], pass->now_ms);
   if (spec->gang && count > 0 && count == step->count)
-    place_together (b, capacities, demand, tasks, count, may_preempt (demand, now_ms),
-                    now_ms);
+    place_together (pass, demand, tasks, count, may_preempt (demand, pass->now_ms));
   for (uint32_t i = 0; i < count && !spec->gang; i++)
     {
       /* A step whose tasks run in several rounds (step->waves) preempts other work only
          while fewer of them run than one round holds; guaranteed work always may. */
-      gboolean preempt = may_preempt (demand, now_ms) &&
+      gboolean preempt = may_preempt (demand, pass->now_ms) &&
                          (demand->guaranteed || step->started + i < wave_size);
 
-      if (!place_together (b, capacities, demand, &tasks[i], 1, preempt, now_ms) ||
+      if (!place_together (pass, demand, &tasks[i], 1, preempt) ||
           (demand->idle && !demand->at_risk && demand->job->spec->priority > 0))
         break;
     }
   if (step->advised && count > 0 && any_unstarted (tasks, count))
-    advice_prepare_request (b, capacities, tasks[0], may_preempt (demand, now_ms));
+    advice_prepare_request (pass->b, pass->capacities, tasks[0],
+                            may_preempt (demand, pass->now_ms));
   g_free (tasks);
 }
 
@@ -371,14 +392,18 @@
 void
 place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
-  GPtrArray *capacities = list_capacities (b, now_ms);
-  GArray *demands = list_demands (b, capacities, now_ms, wall_ms);
+  pass_t *pass = pass_new (b, now_ms);
+  GArray *demands;
 
+  update_guarantees (b);
+  demands = list_demands (b, pass->capacities, now_ms, wall_ms);
+  pass->preemption_budget = pass->reservation_budget =
+      MAX (PLANNED_WORKERS_MAX, PLANS_MIN * (int64_t)pass->capacities->len);
   cb_batch_advice_request_free (cb_batch_pop_advice_request (b));
-  reserve_for_urgent (capacities);
-  reserve_plans (b, capacities, demands, now_ms);
-  for (guint i = 0; capacities->len > 0 && i < demands->len; i++)
-    place_step (b, capacities, &g_array_index (demands, demand_t, i), now_ms);
+  reserve_for_urgent (pass->capacities);
+  reserve_plans (pass, demands);
+  for (guint i = 0; pass->capacities->len > 0 && i < demands->len; i++)
+    place_step (pass, &g_array_index (demands, demand_t, i));
   g_array_unref (demands);
-  g_ptr_array_free (capacities, TRUE);
+  pass_free (pass);
 }
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -19,49 +19,56 @@
    ENDS_SOON_MARGIN_MS. Runs on slow workers stay at the last percents for seconds. */
 #define ENDS_SOON_MAX_FACTOR 2
 
-static uint32_t
-account_guarantee (const cb_batch_t *b, const char *account)
+/* What an account may claim, and what its urgent jobs need. */
+typedef struct
 {
-  for (guint i = 0; b->config != NULL && i < b->config->accounts->len; i++)
-    {
-      const cb_batch_account_t *a = b->config->accounts->pdata[i];
-
-      if (strcmp (a->name, account) == 0)
-        return a->guaranteed;
-    }
-  return 0;
-}
+  uint32_t guaranteed;
+  uint64_t needed; /* accelerators of the urgent jobs that were accepted so far */
+} account_use_t;
 
-/* Returns the accelerators needed by JOB and by the urgent jobs of its account that
-   were accepted before it. */
+/* Returns the accelerators of the tasks of JOB that are not done. */
 static uint64_t
-accelerators_needed (const cb_batch_t *b, const job_t *job)
+accelerators_needed (const job_t *job)
 {
   uint64_t needed = 0;
 
-  for (const GList *l = b->job_list.head; l != NULL; l = l->next)
-    {
-      const job_t *other = l->data;
-
-      if (other->spec->priority == 0 && (job_open (other) || other->open_runs > 0) &&
-          strcmp (other->spec->account, job->spec->account) == 0)
-        for (size_t i = 0; i < other->spec->n_steps; i++)
-          needed += (uint64_t)other->spec->steps[i]->accelerators *
-                    (other->occurrences[0].steps[i].count -
-                     other->occurrences[0].steps[i].done);
-      if (other == job)
-        break;
-    }
+  for (size_t i = 0; i < job->spec->n_steps; i++)
+    needed += (uint64_t)job->spec->steps[i]->accelerators *
+              (job->occurrences[0].steps[i].count - job->occurrences[0].steps[i].done);
   return needed;
 }
 
-/* TRUE when the guarantee of its account covers JOB and the urgent jobs that were
-   accepted before it. */
-gboolean
-job_is_guaranteed (const cb_batch_t *b, const job_t *job)
+/* Updates for each job whether the guarantee of its account covers it and the urgent
+   jobs that were accepted before it. */
+void
+update_guarantees (cb_batch_t *b)
 {
-  return job->spec->priority == 0 &&
-         accelerators_needed (b, job) <= account_guarantee (b, job->spec->account);
+  GHashTable *accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+
+  for (guint i = 0; b->config != NULL && i < b->config->accounts->len; i++)
+    {
+      const cb_batch_account_t *account = b->config->accounts->pdata[i];
+      account_use_t *use = g_new0 (account_use_t, 1);
+
+      use->guaranteed = account->guaranteed;
+      g_hash_table_replace (accounts, account->name, use);
+    }
+  for (GList *l = b->job_list.head; l != NULL; l = l->next)
+    {
+      job_t *job = l->data;
+      account_use_t *use;
+      uint64_t needed;
+
+      job->guaranteed = FALSE;
+      if (job->spec->priority != 0 || (!job_open (job) && job->open_runs == 0))
+        continue;
+      needed = accelerators_needed (job);
+      use = g_hash_table_lookup (accounts, job->spec->account);
+      if (use != NULL)
+        use->needed += needed;
+      job->guaranteed = use == NULL ? needed == 0 : use->needed <= use->guaranteed;
+    }
+  g_hash_table_unref (accounts);
 }
 
 /* The job that a preemption plan is made for, and what the plan may use. */
@@ -75,6 +82,7 @@
   gboolean wait_for_ends;  /* preempts nothing: selects what ends first */
   uint64_t plan_number;    /* of the plan being made; marks the steps it preempts */
   cb_msec_t now_ms;
+  GArray *candidates; /* of candidate_t, of all hosts of the plan */
 } request_t;
 
 /* The platform counts an accelerator as 8 cores. */
@@ -159,92 +167,125 @@
     return FALSE;
   if (other->spec->priority > request->job->spec->priority)
     return TRUE;
-  return request->preempt_equals && !job_is_guaranteed (request->b, other);
+  return request->preempt_equals && !other->guaranteed;
 }
 
-/* A worker that a plan may use. */
+/* A task that a plan may preempt or wait for. */
 typedef struct
 {
-  capacity_t capacity;   /* free now or soon, less what the plan has placed here */
-  GPtrArray *candidates; /* of task_t, the cheapest to preempt first */
-  guint n_preempted;     /* the plan preempts this many, from the first on */
-  double cost;           /* of preempting them, see preemption_cost */
-  uint32_t n_placed;     /* tasks that the plan places here */
-} host_t;
+  task_t *task;
+  double cost; /* of preempting it in core-ms, or ms until its expected end */
+  double rank; /* lowest first */
+} candidate_t;
 
-/* Returns what preempting TASK costs in core-ms, or, with wait_for_ends, the ms until
-   its expected end. */
-static double
-preemption_cost (const request_t *request, const task_t *task)
+/* What it takes to place one more task on a host. */
+typedef struct
 {
-  if (request->wait_for_ends)
-    return (double)remaining_ms (request->b, task, request->now_ms);
-  return stop_cost (task, request->now_ms);
-}
+  double cost; /* in the unit of the plan; below 0: the worker cannot hold the task */
+  capacity_t capacity; /* of the host after the preemptions */
+  guint n_preempted;   /* tasks of the host preempted in total */
+} increment_t;
 
-static gint
-compare_cost (gconstpointer a, gconstpointer b, gpointer data)
+/* A worker that a plan may use. */
+typedef struct
 {
-  const request_t *request = data;
-  const task_t *x = *(task_t *const *)a;
-  const task_t *y = *(task_t *const *)b;
-  double cost_x = preemption_cost (request, x) /
-                  (request->wait_for_ends ? 1 : core_equivalents (task_spec (x)));
-  double cost_y = preemption_cost (request, y) /
-                  (request->wait_for_ends ? 1 : core_equivalents (task_spec (y)));
-
-  return (cost_x > cost_y) - (cost_x < cost_y);
-}
+  capacity_t capacity; /* free now or soon, less what the plan has placed here */
+  guint first; /* its candidates in the request, the cheapest to preempt first */
+  guint n_candidates;
+  guint n_preempted; /* the plan preempts this many, from the first on */
+  double cost;       /* of preempting them */
+  uint32_t n_placed; /* tasks that the plan places here */
+  gboolean computed; /* increment is valid */
+  increment_t increment;
+} host_t;
 
-static void
-free_host (void *ptr)
+static gint
+compare_ranks (gconstpointer a, gconstpointer b)
 {
-  host_t *host = ptr;
+  double x = ((const candidate_t *)a)->rank;
+  double y = ((const candidate_t *)b)->rank;
 
-  g_ptr_array_free (host->candidates, TRUE);
-  g_free (host);
+  return (x > y) - (x < y);
 }
 
-static host_t *
-new_host (request_t *request, const capacity_t *capacity)
+/* Returns the tasks of CAPACITY's worker, sorted by what a preemption costs for each
+   core or, with wait_for_ends, by their expected ends. The order holds for the pass. */
+static const GArray *
+ranked_tasks (const request_t *request, capacity_t *capacity)
 {
-  host_t *host = g_new0 (host_t, 1);
+  GArray **ranked =
+      request->wait_for_ends ? &capacity->by_end : &capacity->by_stop_cost;
   const worker_t *w = capacity->worker;
 
-  host->capacity = *capacity;
-  host->candidates = g_ptr_array_new ();
+  if (*ranked != NULL)
+    return *ranked;
+  *ranked = g_array_sized_new (FALSE, FALSE, sizeof (candidate_t), w->tasks->len);
   for (guint i = 0; i < w->tasks->len; i++)
     {
-      task_t *task = w->tasks->pdata[i];
+      candidate_t candidate = { .task = w->tasks->pdata[i] };
 
-      if (is_ending (request, task))
-        capacity_release (&host->capacity, task_spec (task));
-      else if (is_preemptible (request, task))
-        g_ptr_array_add (host->candidates, task);
+      if (request->wait_for_ends)
+        candidate.cost = candidate.rank =
+            (double)remaining_ms (request->b, candidate.task, request->now_ms);
+      else
+        {
+          candidate.cost = stop_cost (candidate.task, request->now_ms);
+          candidate.rank =
+              candidate.cost / core_equivalents (task_spec (candidate.task));
+        }
+      g_array_append_val (*ranked, candidate);
     }
-  g_ptr_array_sort_with_data (host->candidates, compare_cost, request);
-  return host;
+  g_array_sort (*ranked, compare_ranks);
+  return *ranked;
 }
 
-/* What it takes to place one more task on a host. */
-typedef struct
+/* Adds the worker of CAPACITY to HOSTS if it could hold one task of STEP after
+   preemptions. */
+static void
+add_host (request_t *request, GArray *hosts, capacity_t *capacity,
+          const Cb__BatchStep *step)
 {
-  double cost; /* as preemption_cost; below 0: the worker cannot hold the task */
-  capacity_t capacity; /* of the host after the preemptions */
-  guint n_preempted;   /* tasks of the host preempted in total */
-} increment_t;
+  host_t host = { .capacity = *capacity, .first = request->candidates->len };
+  const GArray *ranked = ranked_tasks (request, capacity);
+  capacity_t most;
+
+  for (guint i = 0; i < ranked->len; i++)
+    {
+      const candidate_t *candidate = &g_array_index (ranked, candidate_t, i);
+
+      if (is_ending (request, candidate->task))
+        capacity_release (&host.capacity, task_spec (candidate->task));
+      else if (is_preemptible (request, candidate->task))
+        g_array_append_val (request->candidates, *candidate);
+    }
+  host.n_candidates = request->candidates->len - host.first;
+  most = host.capacity;
+  for (guint i = host.first; i < request->candidates->len; i++)
+    capacity_release (
+        &most, task_spec (g_array_index (request->candidates, candidate_t, i).task));
+  if (capacity_fits (&most, step))
+    g_array_append_val (hosts, host);
+  else
+    g_array_set_size (request->candidates, host.first);
+}
+
+static const candidate_t *
+candidate_of (const request_t *request, const host_t *host, guint at)
+{
+  return &g_array_index (request->candidates, candidate_t, host->first + at);
+}
 
 /* TRUE when the plan already stops the gang of candidate AT of HOST. Stopping one
    member stops the whole gang, so its cost counts once. */
 static gboolean
 is_gang_stopped (const request_t *request, const host_t *host, guint at)
 {
-  const step_state_t *gang = task_step (host->candidates->pdata[at]);
+  const step_state_t *gang = task_step (candidate_of (request, host, at)->task);
 
   if (gang->stopped_by_plan == request->plan_number)
     return TRUE;
   for (guint i = host->n_preempted; i < at; i++)
-    if (task_step (host->candidates->pdata[i]) == gang)
+    if (task_step (candidate_of (request, host, i)->task) == gang)
       return TRUE;
   return FALSE;
 }
@@ -258,80 +299,96 @@
 
   while (!capacity_fits (&increment.capacity, step))
     {
-      const task_t *candidate;
+      const candidate_t *candidate;
 
-      if (increment.n_preempted == host->candidates->len)
+      if (increment.n_preempted == host->n_candidates)
         {
           increment.cost = -1;
           break;
         }
-      candidate = host->candidates->pdata[increment.n_preempted];
+      candidate = candidate_of (request, host, increment.n_preempted);
       if (request->wait_for_ends)
-        increment.cost = preemption_cost (request, candidate);
-      else if (!task_spec (candidate)->gang ||
+        increment.cost = candidate->cost;
+      else if (!task_spec (candidate->task)->gang ||
                !is_gang_stopped (request, host, increment.n_preempted))
-        increment.cost += preemption_cost (request, candidate);
-      capacity_release (&increment.capacity, task_spec (candidate));
+        increment.cost += candidate->cost;
+      capacity_release (&increment.capacity, task_spec (candidate->task));
       increment.n_preempted++;
     }
   return increment;
 }
 
-/* Assigns TASK to the cheapest host, in RACK unless it is NULL. Returns NULL when there
-   is none. */
+/* Makes the plan use BEST for one more task of STEP. When that stops a gang, the
+   increments of all HOSTS are computed anew, as its other members cost nothing more. */
+static void
+use_host (const request_t *request, GArray *hosts, host_t *best,
+          const Cb__BatchStep *step)
+{
+  const increment_t increment = best->increment;
+  gboolean stops_gang = FALSE;
+
+  best->cost = request->wait_for_ends ? MAX (best->cost, increment.cost)
+                                      : best->cost + increment.cost;
+  for (guint i = best->n_preempted; i < increment.n_preempted; i++)
+    {
+      const task_t *task = candidate_of (request, best, i)->task;
+
+      task_step (task)->stopped_by_plan = request->plan_number;
+      stops_gang = stops_gang || task_spec (task)->gang;
+    }
+  best->n_preempted = increment.n_preempted;
+  best->capacity = increment.capacity;
+  best->n_placed++;
+  best->computed = FALSE;
+  capacity_take (&best->capacity, step);
+  for (guint i = 0; stops_gang && i < hosts->len; i++)
+    g_array_index (hosts, host_t, i).computed = FALSE;
+}
+
+/* Assigns TASK to the cheapest host. Returns NULL when there is none. */
 static host_t *
-assign_host (const request_t *request, GPtrArray *hosts, const task_t *task,
-             const char *rack)
+assign_host (const request_t *request, GArray *hosts, const task_t *task)
 {
   const Cb__BatchStep *step = task_spec (task);
   host_t *best = NULL;
-  increment_t best_increment = { 0 };
 
   for (guint i = 0; i < hosts->len; i++)
     {
-      host_t *host = hosts->pdata[i];
-      increment_t increment;
+      host_t *host = &g_array_index (hosts, host_t, i);
 
-      if ((rack != NULL && strcmp (host->capacity.worker->rack, rack) != 0) ||
-          (!request->preempt_equals && !trust_allows (&host->capacity, task)) ||
+      if ((!request->preempt_equals && !trust_allows (&host->capacity, task)) ||
           !capacity_allows (&host->capacity, task, host->n_placed))
         continue;
-      increment = increment_of (request, host, step);
-      if (increment.cost >= 0 && (best == NULL || increment.cost < best_increment.cost))
-        {
-          best = host;
-          best_increment = increment;
-        }
+      if (!host->computed)
+        host->increment = increment_of (request, host, step);
+      host->computed = TRUE;
+      if (host->increment.cost >= 0 &&
+          (best == NULL || host->increment.cost < best->increment.cost))
+        best = host;
     }
-  if (best == NULL)
-    return NULL;
-  best->cost = request->wait_for_ends ? MAX (best->cost, best_increment.cost)
-                                      : best->cost + best_increment.cost;
-  for (guint i = best->n_preempted; i < best_increment.n_preempted; i++)
-    task_step (best->candidates->pdata[i])->stopped_by_plan = request->plan_number;
-  best->n_preempted = best_increment.n_preempted;
-  best->capacity = best_increment.capacity;
-  best->n_placed++;
-  capacity_take (&best->capacity, step);
+  if (best != NULL)
+    use_host (request, hosts, best, step);
   return best;
 }
 
-/* Makes a plan for COUNT tasks in RACK (NULL: any): their workers in CHOSEN, and in
-   PREEMPTED the tasks to preempt or, with wait_for_ends, to wait for. Returns the cost
-   in core-ms or, with wait_for_ends, the wait in ms; negative: there is no plan. */
+/* Makes a plan for COUNT tasks on workers of CAPACITIES: their workers in CHOSEN, and
+   in PREEMPTED the tasks to preempt or, with wait_for_ends, to wait for. Returns the
+   cost in core-ms or, with wait_for_ends, the wait in ms; negative: there is no
+   plan. */
 static double
-make_plan (request_t *request, GPtrArray *capacities, task_t **tasks, uint32_t count,
-           const char *rack, const worker_t **chosen, GPtrArray *preempted)
+make_plan (request_t *request, const GPtrArray *capacities, task_t **tasks,
+           uint32_t count, const worker_t **chosen, GPtrArray *preempted)
 {
-  GPtrArray *hosts = g_ptr_array_new_with_free_func (free_host);
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (host_t));
   double cost = 0;
 
   request->plan_number = ++request->b->plan_count;
+  g_array_set_size (request->candidates, 0);
   for (guint i = 0; i < capacities->len; i++)
-    g_ptr_array_add (hosts, new_host (request, capacities->pdata[i]));
+    add_host (request, hosts, capacities->pdata[i], task_spec (tasks[0]));
   for (uint32_t i = 0; i < count && cost >= 0; i++)
     {
-      const host_t *host = assign_host (request, hosts, tasks[i], rack);
+      const host_t *host = assign_host (request, hosts, tasks[i]);
 
       if (host == NULL)
         cost = -1;
@@ -340,13 +397,13 @@
     }
   for (guint i = 0; i < hosts->len && cost >= 0; i++)
     {
-      const host_t *host = hosts->pdata[i];
+      const host_t *host = &g_array_index (hosts, host_t, i);
 
       cost = request->wait_for_ends ? MAX (cost, host->cost) : cost + host->cost;
       for (guint k = 0; k < host->n_preempted; k++)
-        g_ptr_array_add (preempted, host->candidates->pdata[k]);
+        g_ptr_array_add (preempted, candidate_of (request, host, k)->task);
     }
-  g_ptr_array_free (hosts, TRUE);
+  g_array_unref (hosts);
   return cost;
 }
 
@@ -363,101 +420,130 @@
   return request->preempt_equals || cost <= MAX_LOSS_RATIO * work;
 }
 
-/* As make_plan, in the cheapest rack when the step asks for a single rack. */
+/* As make_plan, in the cheapest rack when the step asks for a single rack. Adds the
+   number of workers that it looked at to LOOKED_AT. */
 static double
-best_plan (request_t *request, GPtrArray *capacities, task_t **tasks, uint32_t count,
-           const worker_t **chosen, GPtrArray *preempted)
+best_plan (request_t *request, const pass_t *pass, task_t **tasks, uint32_t count,
+           const worker_t **chosen, GPtrArray *preempted, int64_t *looked_at)
 {
-  GHashTable *tried = g_hash_table_new (g_str_hash, g_str_equal);
   const worker_t **trial_workers = g_new0 (const worker_t *, count);
   GPtrArray *found = g_ptr_array_new ();
-  gboolean one_rack = task_spec (tasks[0])->same_rack && count > 1;
   double best = -1;
 
-  for (guint i = 0; one_rack && i < capacities->len; i++)
-    {
-      const char *rack = ((capacity_t *)capacities->pdata[i])->worker->rack;
-      double cost;
-
-      if (!g_hash_table_add (tried, (gpointer)rack))
-        continue;
-      g_ptr_array_set_size (found, 0);
-      cost = make_plan (request, capacities, tasks, count, rack, trial_workers, found);
-      if (cost < 0 || (best >= 0 && cost >= best))
-        continue;
-      best = cost;
-      for (uint32_t k = 0; k < count; k++)
-        chosen[k] = trial_workers[k];
-      g_ptr_array_set_size (preempted, 0);
-      for (guint k = 0; k < found->len; k++)
-        g_ptr_array_add (preempted, found->pdata[k]);
-    }
-  if (!one_rack)
-    best = make_plan (request, capacities, tasks, count, NULL, chosen, preempted);
+  request->candidates = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  *looked_at += pass->capacities->len;
+  if (!task_spec (tasks[0])->same_rack || count < 2)
+    best = make_plan (request, pass->capacities, tasks, count, chosen, preempted);
+  else
+    for (guint i = 0; i < pass->racks->len; i++)
+      {
+        double cost;
+
+        g_ptr_array_set_size (found, 0);
+        cost = make_plan (request, pass->racks->pdata[i], tasks, count, trial_workers,
+                          found);
+        if (cost < 0 || (best >= 0 && cost >= best))
+          continue;
+        best = cost;
+        for (uint32_t k = 0; k < count; k++)
+          chosen[k] = trial_workers[k];
+        g_ptr_array_set_size (preempted, 0);
+        for (guint k = 0; k < found->len; k++)
+          g_ptr_array_add (preempted, found->pdata[k]);
+      }
+  g_array_unref (request->candidates);
   g_ptr_array_free (found, TRUE);
   g_free (trial_workers);
-  g_hash_table_unref (tried);
   return best;
 }
 
-/* Stops the cheapest work that may be preempted, so that COUNT tasks of a step can
-   start, and plans their start on the workers it frees. GUARANTEED: the guarantee of
-   the account covers the job. Returns FALSE when there is no such work or the loss is
-   not justified. */
-gboolean
-preempt_and_plan (cb_batch_t *b, GPtrArray *capacities, task_t **tasks, uint32_t count,
-                  gboolean guaranteed, cb_msec_t now_ms)
+static void
+carry_out_plan (const request_t *request, task_t **tasks, uint32_t count,
+                const worker_t **chosen, const GPtrArray *preempted, double cost)
 {
-  const worker_t **chosen = g_new0 (const worker_t *, count);
-  GPtrArray *preempted = g_ptr_array_new ();
-  job_t *job = tasks[0]->job;
-  gboolean waited =
-      now_ms - job->applied_ms >= PREEMPT_EQUALS_AFTER * (double)b->params.reclaim_ms;
-  request_t request = { .b = b,
-                        .job = job,
-                        .guaranteed = guaranteed,
-                        .preempt_equals = guaranteed && waited,
-                        .now_ms = now_ms };
-  double cost = best_plan (&request, capacities, tasks, count, chosen, preempted);
+  const Cb__BatchJob *spec = request->job->spec;
 
-  if (cost >= 0 && !is_cost_justified (&request, cost, task_spec (tasks[0]), count))
-    cost = -1;
-  for (uint32_t i = 0; cost >= 0 && i < count; i++)
+  for (uint32_t i = 0; i < count; i++)
     {
       tasks[i]->planned_worker = chosen[i];
-      tasks[i]->planned_ms = now_ms;
+      tasks[i]->planned_ms = request->now_ms;
     }
   /* equals: equally urgent work may be preempted, too; victims: the preempted tasks. */
-  if (cost >= 0)
-    cb_event (CB_LOG_INFO, "batch", "reclaim",
-              "job=%s account=%s priority=%u guaranteed=%d equals=%d tasks=%u "
-              "victims=%u lost_core_ms=%.0f",
-              job->spec->id, job->spec->account, job->spec->priority, guaranteed,
-              request.preempt_equals, count, preempted->len, cost);
-  for (guint i = 0; cost >= 0 && i < preempted->len; i++)
-    stop_task (b, preempted->pdata[i], now_ms, "reclaimed");
+  cb_event (CB_LOG_INFO, "batch", "reclaim",
+            "job=%s account=%s priority=%u guaranteed=%d equals=%d tasks=%u "
+            "victims=%u lost_core_ms=%.0f",
+            spec->id, spec->account, spec->priority, request->guaranteed,
+            request->preempt_equals, count, preempted->len, cost);
+  for (guint i = 0; i < preempted->len; i++)
+    stop_task (request->b, preempted->pdata[i], request->now_ms, "reclaimed");
+}
+
+/* TRUE when a guarantee has waited for so long that it preempts equally urgent work at
+   any cost. */
+gboolean
+preempts_equals (const pass_t *pass, const job_t *job, gboolean guaranteed)
+{
+  return guaranteed && (double)(pass->now_ms - job->applied_ms) >=
+                           PREEMPT_EQUALS_AFTER * (double)pass->b->params.reclaim_ms;
+}
+
+/* Stops the cheapest work that may be preempted, so that COUNT tasks of a step can
+   start, and plans their start on the workers it frees. GUARANTEED: the guarantee of
+   the account covers the job. */
+plan_result_t
+preempt_and_plan (pass_t *pass, task_t **tasks, uint32_t count, gboolean guaranteed)
+{
+  const worker_t **chosen;
+  GPtrArray *preempted;
+  job_t *job = tasks[0]->job;
+  request_t request = { .b = pass->b,
+                        .job = job,
+                        .guaranteed = guaranteed,
+                        .preempt_equals = preempts_equals (pass, job, guaranteed),
+                        .now_ms = pass->now_ms };
+  plan_result_t result = PLAN_MADE;
+  int64_t looked_at = 0;
+  double cost;
+
+  if (pass->preemption_budget <= 0 && !guaranteed)
+    return PLAN_NOT_TRIED;
+  chosen = g_new0 (const worker_t *, count);
+  preempted = g_ptr_array_new ();
+  cost = best_plan (&request, pass, tasks, count, chosen, preempted, &looked_at);
+  pass->preemption_budget -= looked_at;
+  if (cost < 0)
+    result = PLAN_IMPOSSIBLE;
+  else if (!is_cost_justified (&request, cost, task_spec (tasks[0]), count))
+    result = PLAN_TOO_COSTLY;
+  else
+    carry_out_plan (&request, tasks, count, chosen, preempted, cost);
   g_ptr_array_free (preempted, TRUE);
   g_free (chosen);
-  return cost >= 0;
+  return result;
 }
 
 /* Deducts the capacity that is expected to become free first for COUNT tasks that
    cannot start yet, so that smaller tasks do not take it bit by bit. */
 void
-reserve_awaited (cb_batch_t *b, GPtrArray *capacities, task_t **tasks, uint32_t count,
-                 cb_msec_t now_ms)
+reserve_awaited (pass_t *pass, task_t **tasks, uint32_t count)
 {
-  const worker_t **chosen = g_new0 (const worker_t *, count);
-  GPtrArray *awaited = g_ptr_array_new ();
+  const worker_t **chosen;
+  GPtrArray *awaited;
   request_t request = {
-    .b = b, .job = tasks[0]->job, .wait_for_ends = TRUE, .now_ms = now_ms
+    .b = pass->b, .job = tasks[0]->job, .wait_for_ends = TRUE, .now_ms = pass->now_ms
   };
-  double wait_ms = best_plan (&request, capacities, tasks, count, chosen, awaited);
-
+  int64_t looked_at = 0;
+  double wait_ms;
+
+  if (pass->reservation_budget <= 0)
+    return;
+  chosen = g_new0 (const worker_t *, count);
+  awaited = g_ptr_array_new ();
+  wait_ms = best_plan (&request, pass, tasks, count, chosen, awaited, &looked_at);
+  pass->reservation_budget -= looked_at;
   for (uint32_t i = 0; wait_ms >= 0 && i < count; i++)
-    for (guint k = 0; k < capacities->len; k++)
-      if (((capacity_t *)capacities->pdata[k])->worker == chosen[i])
-        capacity_take (capacities->pdata[k], task_spec (tasks[i]));
+    if (chosen[i] != NULL)
+      capacity_take (chosen[i]->capacity, task_spec (tasks[i]));
   g_ptr_array_free (awaited, TRUE);
   g_free (chosen);
 }
--- a/batch/report.c
+++ b/batch/report.c
@@ -3,6 +3,32 @@
 
 #include <string.h>
 
+/* The agents send unchanged reports at an interval that grows with the number of
+   workers, so that the scheduler gets at most 1000 / REPORT_MS_PER_WORKER of them a
+   second. The maximum leaves time to renew a lease. */
+#define REPORT_MS_PER_WORKER 4
+#define REPORT_INTERVAL_MIN_MS 450
+#define REPORT_INTERVAL_MAX_MS 1500
+/* A worker whose latest report is older than the interval plus this time gets no new
+   work. */
+#define REPORT_LATE_MS 1150
+
+/* Returns the interval in ms at which an agent sends unchanged reports. */
+cb_msec_t
+cb_batch_report_interval_ms (const cb_batch_t *b)
+{
+  return CLAMP ((cb_msec_t)g_hash_table_size (b->workers) * REPORT_MS_PER_WORKER,
+                REPORT_INTERVAL_MIN_MS, REPORT_INTERVAL_MAX_MS);
+}
+
+/* Returns the age in ms up to which the latest report of a worker is good enough to
+   give it new work. */
+cb_msec_t
+report_max_age_ms (const cb_batch_t *b)
+{
+  return cb_batch_report_interval_ms (b) + REPORT_LATE_MS;
+}
+
 /* Returns the local time in ms at which a lease granted at GRANTED_MS has expired even
    if the worker's clock is slow. */
 cb_msec_t
@@ -19,20 +45,18 @@
 static void
 mark_replaced_workers (cb_batch_t *b, const char *agent, worker_t *current)
 {
-  GHashTableIter iter;
-  gpointer value;
+  const GPtrArray *workers = agent_workers (b, agent);
 
-  g_hash_table_iter_init (&iter, b->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; workers != NULL && i < workers->len; i++)
     {
-      worker_t *w = value;
+      worker_t *w = workers->pdata[i];
 
-      if (w == current || strcmp (w->agent, agent) != 0)
+      if (w == current)
         continue;
       if (strcmp (w->id, current->id) == 0)
         {
-          current->commands_changed =
-              current->commands_changed || w->successor != current;
+          if (w->successor != current)
+            change_commands (b, current);
           w->successor = current;
         }
       if (w->terminated)
@@ -53,6 +77,22 @@
   *field = g_strdup (value);
 }
 
+static void
+replace_labels (worker_t *w, const Cb__WorkerReport *report)
+{
+  size_t same = 0;
+
+  while (same < report->n_labels && w->labels[same] != NULL &&
+         strcmp (w->labels[same], report->labels[same]) == 0)
+    same++;
+  if (same == report->n_labels && w->labels[same] == NULL)
+    return;
+  g_strfreev (w->labels);
+  w->labels = g_new0 (char *, report->n_labels + 1);
+  for (size_t i = 0; i < report->n_labels; i++)
+    w->labels[i] = g_strdup (report->labels[i]);
+}
+
 static void
 update_description (cb_batch_t *b, worker_t *w, const Cb__WorkerReport *report)
 {
@@ -69,10 +109,7 @@
   replace_string (&w->service, report->service);
   replace_string (&w->zone, report->availability_zone);
   replace_string (&w->rack, report->n_labels > 1 ? report->labels[1] : "");
-  g_strfreev (w->labels);
-  w->labels = g_new0 (char *, report->n_labels + 1);
-  for (size_t i = 0; i < report->n_labels; i++)
-    w->labels[i] = g_strdup (report->labels[i]);
+  replace_labels (w, report);
 }
 
 /* TRUE when RUN is the current run of TASK and has been started on W. */
@@ -98,11 +135,9 @@
       if (!is_current_run (task, w, running->run))
         {
           g_ptr_array_add (w->unwanted_runs, cb_msg_copy (&running->run->base));
-          w->commands_changed = TRUE;
+          change_commands (b, w);
           continue;
         }
-      if (!task->reported)
-        w->commands_changed = TRUE;
       task->reported = TRUE;
       if (task->percent != running->percent)
         task->progress_ms = now_ms;
@@ -124,7 +159,6 @@
 handle_ended (cb_batch_t *b, worker_t *w, const Cb__WorkerReport *report)
 {
   gboolean all_durable = TRUE;
-  uint64_t before = w->last_durable_end;
 
   for (size_t i = 0; i < report->n_ended; i++)
     {
@@ -139,8 +173,6 @@
       else if (all_durable)
         w->last_durable_end = MAX (w->last_durable_end, ended->number);
     }
-  if (w->last_durable_end != before)
-    w->commands_changed = TRUE;
 }
 
 /* Ends runs that the worker has rejected, and stopped runs that it does not have. A run
@@ -187,6 +219,8 @@
   if (report->clock_ms > w->clock_ms)
     {
       b->dirty = b->dirty || !w->reporting;
+      if (!w->reporting)
+        b->worker_reported_ms = now_ms;
       if (!w->reporting)
         cb_event_unlimited (CB_LOG_INFO, "batch", "worker_listed",
                             "worker=%s agent=%s rack=%s cpu_milli=%u accelerators=%u "
@@ -203,7 +237,7 @@
       handle_running (b, w, report, now_ms);
       handle_ended (b, w, report);
       handle_rejected_and_absent (b, w, report);
-      pace_update (w, now_ms);
+      pace_update (b, w, now_ms);
     }
   if (report->left)
     {
--- a/batch/room.c
+++ b/batch/room.c
@@ -4,9 +4,6 @@
 
 #include <string.h>
 
-/* A worker whose latest report is older than this gets no new work. Reports are sent
-   twice a second. */
-#define REPORT_MAX_AGE_MS 1600
 /* The share of the fleet that one step can expect is 1 / STEP_FLEET_DIVISOR. A step
    with more tasks than that share holds runs in several rounds (waves), as the platform
    assumes in its objective. */
@@ -34,9 +31,38 @@
   capacity->accelerators = w->accelerators;
   for (guint i = 0; i < w->tasks->len; i++)
     capacity_take (capacity, task_spec (w->tasks->pdata[i]));
+  w->capacity = capacity;
   return capacity;
 }
 
+/* Discards the orders of the worker's tasks, which have changed. */
+void
+capacity_forget_order (capacity_t *capacity)
+{
+  if (capacity->by_stop_cost != NULL)
+    g_array_unref (capacity->by_stop_cost);
+  if (capacity->by_end != NULL)
+    g_array_unref (capacity->by_end);
+  capacity->by_stop_cost = NULL;
+  capacity->by_end = NULL;
+}
+
+static void
+free_capacity (void *ptr)
+{
+  capacity_t *capacity = ptr;
+
+  capacity->worker->capacity = NULL;
+  capacity_forget_order (capacity);
+  g_free (capacity);
+}
+
+static void
+free_rack (void *ptr)
+{
+  g_ptr_array_free (ptr, TRUE);
+}
+
 static gint
 compare_worker_ids (gconstpointer a, gconstpointer b)
 {
@@ -46,27 +72,67 @@
   return strcmp (x->worker->id, y->worker->id);
 }
 
-/* Returns the free capacities of all workers that may get work now, sorted by worker id
-   so that placement does not depend on hash order. Freed with g_ptr_array_free. */
-GPtrArray *
-list_capacities (cb_batch_t *b, cb_msec_t now_ms)
+static GPtrArray *
+group_by_rack (const GPtrArray *capacities)
 {
-  GPtrArray *capacities = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *racks = g_ptr_array_new_with_free_func (free_rack);
+  GHashTable *rack_of_name = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < capacities->len; i++)
+    {
+      capacity_t *capacity = capacities->pdata[i];
+      GPtrArray *rack = g_hash_table_lookup (rack_of_name, capacity->worker->rack);
+
+      if (rack == NULL)
+        {
+          rack = g_ptr_array_new ();
+          g_hash_table_insert (rack_of_name, capacity->worker->rack, rack);
+          g_ptr_array_add (racks, rack);
+        }
+      g_ptr_array_add (rack, capacity);
+    }
+  g_hash_table_unref (rack_of_name);
+  return racks;
+}
+
+/* Begins a placement pass with the free capacities of all workers that may get work
+   now, sorted by worker id so that placement does not depend on hash order. Freed with
+   pass_free before another pass begins. */
+pass_t *
+pass_new (cb_batch_t *b, cb_msec_t now_ms)
+{
+  pass_t *pass = g_new0 (pass_t, 1);
   GHashTableIter iter;
   gpointer value;
 
+  pass->b = b;
+  pass->now_ms = now_ms;
+  pass->capacities = g_ptr_array_new_with_free_func (free_capacity);
   g_hash_table_iter_init (&iter, b->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       worker_t *w = value;
 
       if (w->reporting && !w->terminated && !w->draining &&
-          now_ms - w->reported_ms < REPORT_MAX_AGE_MS)
-        g_ptr_array_add (capacities, capacity_new (w));
+          now_ms - w->reported_ms < report_max_age_ms (b))
+        g_ptr_array_add (pass->capacities, capacity_new (w));
     }
-  g_ptr_array_sort (capacities, compare_worker_ids);
-  trust_update (capacities, now_ms);
-  return capacities;
+  g_ptr_array_sort (pass->capacities, compare_worker_ids);
+  pass->racks = group_by_rack (pass->capacities);
+  trust_update (pass->capacities, now_ms);
+  return pass;
+}
+
+void
+pass_free (pass_t *pass)
+{
+  if (pass->fit_misses != NULL)
+    g_array_unref (pass->fit_misses);
+  if (pass->plan_misses != NULL)
+    g_array_unref (pass->plan_misses);
+  g_ptr_array_free (pass->racks, TRUE);
+  g_ptr_array_free (pass->capacities, TRUE);
+  g_free (pass);
 }
 
 static gint
@@ -265,12 +331,12 @@
   return score;
 }
 
-/* Returns the worker with the best score for TASK among those within REACH, and in RACK
-   unless it is NULL, or NULL. CHOSEN lists the workers of the N_CHOSEN tasks of the
-   same step before it. */
+/* Returns the worker of CAPACITIES with the best score for TASK among those within
+   REACH, or NULL. CHOSEN lists the workers of the N_CHOSEN tasks of the same step
+   before it. */
 static capacity_t *
-best_capacity (GPtrArray *capacities, const task_t *task, const char *rack,
-               reach_t reach, capacity_t **chosen, uint32_t n_chosen)
+best_capacity (const GPtrArray *capacities, const task_t *task, reach_t reach,
+               capacity_t **chosen, uint32_t n_chosen)
 {
   const Cb__BatchStep *step = task_spec (task);
   capacity_t *best = NULL;
@@ -281,14 +347,14 @@
       capacity_t *capacity = capacities->pdata[i];
       uint32_t n_chosen_here = 0;
       double score;
-      gboolean trusted = trust_allows (capacity, task);
+      gboolean trusted;
 
-      if ((!trusted && reach < REACH_ALL) ||
+      if (!capacity_fits (capacity, step) ||
           (reach < REACH_RESERVED && capacity->reserved_from > 0 &&
            task->job->spec->priority >= capacity->reserved_from))
         continue;
-      if ((rack != NULL && strcmp (capacity->worker->rack, rack) != 0) ||
-          !capacity_fits (capacity, step))
+      trusted = trust_allows (capacity, task);
+      if (!trusted && reach < REACH_ALL)
         continue;
       for (uint32_t k = 0; step->per_worker_max > 0 && k < n_chosen; k++)
         n_chosen_here += chosen[k] == capacity;
@@ -304,18 +370,18 @@
   return best;
 }
 
-/* Chooses workers within REACH, and in RACK unless it is NULL, for COUNT tasks of one
-   step, and deducts the capacity of the tasks. Returns FALSE and deducts nothing when
-   not all the tasks fit. */
-gboolean
-fit_group (GPtrArray *capacities, task_t **tasks, uint32_t count, const char *rack,
-           reach_t reach, capacity_t **chosen)
+/* Chooses workers of CAPACITIES within REACH for COUNT tasks of one step, and deducts
+   the capacity of the tasks. Returns FALSE and deducts nothing when not all the tasks
+   fit. */
+static gboolean
+fit_group (const GPtrArray *capacities, task_t **tasks, uint32_t count, reach_t reach,
+           capacity_t **chosen)
 {
   const Cb__BatchStep *step = task_spec (tasks[0]);
 
   for (uint32_t i = 0; i < count; i++)
     {
-      chosen[i] = best_capacity (capacities, tasks[i], rack, reach, chosen, i);
+      chosen[i] = best_capacity (capacities, tasks[i], reach, chosen, i);
       if (chosen[i] != NULL)
         {
           capacity_take (chosen[i], step);
@@ -345,23 +411,21 @@
   return max_tasks;
 }
 
-/* Returns how many tasks of STEP the workers of RACK (NULL: all) hold when they are
-   empty. With TASK, a task of the step, only workers that the advisor permits count. */
+/* Returns how many tasks of STEP the workers of CAPACITIES hold when they are empty.
+   With TASK, a task of the step, only workers that the advisor permits count. */
 static uint64_t
-max_tasks_in_rack (const GPtrArray *capacities, const char *rack,
-                   const Cb__BatchStep *step, const task_t *task)
+max_tasks (const GPtrArray *capacities, const Cb__BatchStep *step, const task_t *task)
 {
-  uint64_t max_tasks = 0;
+  uint64_t sum = 0;
 
   for (guint i = 0; i < capacities->len; i++)
     {
       const worker_t *w = ((capacity_t *)capacities->pdata[i])->worker;
 
-      if ((rack == NULL || strcmp (w->rack, rack) == 0) &&
-          (task == NULL || advice_allows (task, w)))
-        max_tasks += max_tasks_on_worker (w, step, step->count);
+      if (task == NULL || advice_allows (task, w))
+        sum += max_tasks_on_worker (w, step, step->count);
     }
-  return max_tasks;
+  return sum;
 }
 
 /* Returns in how many waves the tasks of STEP run in the share of the fleet that one
@@ -369,40 +433,35 @@
 uint32_t
 step_waves (const GPtrArray *capacities, const Cb__BatchStep *step)
 {
-  double share =
-      (double)max_tasks_in_rack (capacities, NULL, step, NULL) / STEP_FLEET_DIVISOR;
+  double share = (double)max_tasks (capacities, step, NULL) / STEP_FLEET_DIVISOR;
 
   if (share < 1)
     share = 1;
   return MAX (1, (uint32_t)((step->count + share - 1) / share));
 }
 
-/* As fit_group, but keeps the tasks in one rack when the step asks for it. They are
-   spread over racks only when no rack could hold them even if it were empty, and the
-   advisor has decided on all workers. */
+/* Chooses workers within REACH for COUNT tasks of one step, in one rack when the step
+   asks for it, and deducts the capacity of the tasks. Tasks of such a step are spread
+   over racks only when no rack could hold them even if it were empty, and the advisor
+   has decided on all workers. Returns FALSE and deducts nothing when not all the tasks
+   fit. */
 gboolean
-fit_step (GPtrArray *capacities, task_t **tasks, uint32_t count, reach_t reach,
+fit_step (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
           capacity_t **chosen)
 {
   const Cb__BatchStep *step = task_spec (tasks[0]);
-  GHashTable *tried;
   gboolean possible = FALSE;
-  gboolean found = FALSE;
 
   if (!step->same_rack || count < 2)
-    return fit_group (capacities, tasks, count, NULL, reach, chosen);
-  tried = g_hash_table_new (g_str_hash, g_str_equal);
-  for (guint i = 0; i < capacities->len && !found; i++)
+    return fit_group (pass->capacities, tasks, count, reach, chosen);
+  for (guint i = 0; i < pass->racks->len; i++)
     {
-      const char *rack = ((capacity_t *)capacities->pdata[i])->worker->rack;
+      const GPtrArray *rack = pass->racks->pdata[i];
 
-      if (!g_hash_table_add (tried, (gpointer)rack))
-        continue;
-      possible =
-          possible || max_tasks_in_rack (capacities, rack, step, tasks[0]) >= count;
-      found = fit_group (capacities, tasks, count, rack, reach, chosen);
+      possible = possible || max_tasks (rack, step, tasks[0]) >= count;
+      if (fit_group (rack, tasks, count, reach, chosen))
+        return TRUE;
     }
-  g_hash_table_unref (tried);
-  return found || (!possible && !advice_incomplete (capacities, tasks[0]) &&
-                   fit_group (capacities, tasks, count, NULL, reach, chosen));
+  return !possible && !advice_incomplete (pass->capacities, tasks[0]) &&
+         fit_group (pass->capacities, tasks, count, reach, chosen);
 }
--- a/batch/snapshot.c
+++ b/batch/snapshot.c
@@ -71,6 +71,7 @@
       cb_msg_set_string (&message->name, agent->name);
       cb_msg_set_string (&message->address, agent->address);
       message->entry = agent->entry;
+      message->cpu_milli = agent->cpu_milli;
       cb_msg_append ((void ***)&snapshot->agents, &snapshot->n_agents, message);
     }
   return snapshot;
--- a/batch/state.c
+++ b/batch/state.c
@@ -29,22 +29,6 @@
   g_free (job);
 }
 
-static void
-free_worker (void *ptr)
-{
-  worker_t *w = ptr;
-
-  g_free (w->id);
-  g_free (w->agent);
-  g_free (w->service);
-  g_free (w->zone);
-  g_free (w->rack);
-  g_strfreev (w->labels);
-  g_ptr_array_free (w->tasks, TRUE);
-  g_ptr_array_free (w->unwanted_runs, TRUE);
-  g_free (w);
-}
-
 static void
 free_agent (void *ptr)
 {
@@ -63,7 +47,9 @@
 
   b->params = *params;
   b->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
-  b->workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_worker);
+  b->workers = workers_table_new ();
+  b->changed_workers = g_ptr_array_new ();
+  b->workers_of_agent = workers_of_agent_new ();
   b->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_agent);
   b->run_times = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   b->fleet = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cb_msg_free);
@@ -82,6 +68,8 @@
   g_queue_clear (&b->job_list);
   cb_batch_advice_request_free (b->advice_request);
   g_hash_table_unref (b->jobs);
+  g_ptr_array_free (b->changed_workers, TRUE);
+  g_hash_table_unref (b->workers_of_agent);
   g_hash_table_unref (b->workers);
   g_hash_table_unref (b->agents);
   g_hash_table_unref (b->run_times);
@@ -181,58 +169,6 @@
   return message;
 }
 
-/* Returns the incarnation of worker ID that started at INCARNATION_MS; creates it, with
-   AGENT, when it is unknown. */
-worker_t *
-get_worker (cb_batch_t *b, const char *id, uint64_t incarnation_ms, const char *agent)
-{
-  char *key = g_strdup_printf ("%s/%" G_GUINT64_FORMAT, id, incarnation_ms);
-  worker_t *w = g_hash_table_lookup (b->workers, key);
-
-  if (w != NULL)
-    {
-      g_free (key);
-      return w;
-    }
-  w = g_new0 (worker_t, 1);
-  w->id = g_strdup (id);
-  w->incarnation_ms = incarnation_ms;
-  w->agent = g_strdup (agent);
-  w->service = g_strdup ("");
-  w->zone = g_strdup ("");
-  w->rack = g_strdup ("");
-  w->labels = g_new0 (char *, 1);
-  w->tasks = g_ptr_array_new ();
-  w->unwanted_runs = g_ptr_array_new_with_free_func (cb_msg_free);
-  w->filler_percent = FULL_PERCENT;
-  g_hash_table_insert (b->workers, key, w);
-  return w;
-}
-
-/* Adds TASK to the tasks that use W, and removes it from its earlier worker. */
-void
-attach_task (worker_t *w, task_t *task)
-{
-  if (task->worker != NULL)
-    detach_task (task);
-  task->worker = w;
-  task->worker_index = w->tasks->len;
-  g_ptr_array_add (w->tasks, task);
-}
-
-void
-detach_task (task_t *task)
-{
-  worker_t *w = task->worker;
-
-  if (w == NULL)
-    return;
-  g_ptr_array_remove_index_fast (w->tasks, task->worker_index);
-  if (task->worker_index < w->tasks->len)
-    ((task_t *)w->tasks->pdata[task->worker_index])->worker_index = task->worker_index;
-  task->worker = NULL;
-}
-
 /* Adds a job with all tasks waiting. SPEC is copied. */
 job_t *
 add_job (cb_batch_t *b, const Cb__BatchJob *spec, cb_msec_t now_ms)
@@ -287,6 +223,48 @@
   return b->resigned || b->epoch == 0 ? 0 : b->scheduler_seen_ms;
 }
 
+/* TRUE when the entry A should claim the scheduler's role before B: when it has more
+   processor time, or else by a hash of the names. */
+static gboolean
+claims_before (const agent_t *a, const agent_t *b)
+{
+  if (a->cpu_milli != b->cpu_milli)
+    return a->cpu_milli > b->cpu_milli;
+  if (g_str_hash (a->name) != g_str_hash (b->name))
+    return g_str_hash (a->name) < g_str_hash (b->name);
+  return strcmp (a->name, b->name) < 0;
+}
+
+/* Returns in RANK how many registered entries should claim the scheduler's role before
+   the entry NAME. All entries that have applied the same records get the same order.
+   Returns FALSE when the entry is not registered yet. */
+gboolean
+cb_batch_claim_rank (const cb_batch_t *b, const char *name, uint32_t *rank)
+{
+  const agent_t *own = g_hash_table_lookup (b->agents, name);
+  GHashTableIter iter;
+  gpointer value;
+
+  *rank = 0;
+  if (own == NULL || !own->entry)
+    return FALSE;
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const agent_t *other = value;
+
+      *rank += other->entry && claims_before (other, own);
+    }
+  return TRUE;
+}
+
+/* Returns the number of registered entries. */
+uint32_t
+cb_batch_entry_count (const cb_batch_t *b)
+{
+  return b->entry_count;
+}
+
 /* Returns the status of a job by the applied records; CB_JOB_UNKNOWN when there is no
    such job. */
 cb_job_status_t
--- a/batch/watch.c
+++ b/batch/watch.c
@@ -153,28 +153,6 @@
     }
 }
 
-static gboolean
-has_predecessor (const cb_batch_t *b, const worker_t *w)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, b->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const worker_t *)value)->successor == w)
-      return TRUE;
-  return FALSE;
-}
-
-static gboolean
-is_removable (gpointer key, gpointer value, gpointer data)
-{
-  const worker_t *w = value;
-
-  (void)key;
-  return w->terminated && w->tasks->len == 0 && !has_predecessor (data, w);
-}
-
 /* Ends runs whose worker has terminated or whose lease has expired, and stops runs that
    are of no use where they are. */
 void
@@ -191,6 +169,6 @@
       stop_broken_gangs (b, value, now_ms);
       check_stalls (b, value, now_ms);
     }
-  g_hash_table_foreach_remove (b->workers, is_removable, b);
+  remove_terminated_workers (b);
   stop_ended_jobs (b, now_ms);
 }
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -54,7 +54,7 @@
   cb_http_server_t *caller_server;
   cb_http_server_t *ready_server; /* health checks of the load balancer */
   cb_http_server_t *metrics_server;
-  cb_timer_t *tick_timer;
+  cb_timer_t *tick_timer; /* one-shot, set again by each tick */
 
   /* Appending to and reading from the log. */
   cb_writer_t *writer;
@@ -67,13 +67,13 @@
   cb_batch_log_read_t *pending_read; /* replies to earlier reads are ignored */
   uint64_t known_end_offset;         /* the log has all records before this offset */
   cb_timer_t *reread_timer;
-  cb_msec_t last_read_ms;     /* when the last successful read was sent */
-  cb_msec_t applied_until_ms; /* all records stored before this time are applied */
-  cb_msec_t healthy_since_ms; /* since when all reads have succeeded */
-  gboolean healthy;           /* the last read succeeded */
-  cb_timer_t *read_retry_timer;
-  uint64_t snapshot_offset;    /* next_offset of the last snapshot written here */
-  cb_msec_t snapshot_ended_ms; /* when the last attempt to write one ended */
+  cb_msec_t last_read_ms;       /* when the last successful read was sent */
+  cb_msec_t applied_until_ms;   /* all records stored before this time are applied */
+  cb_msec_t healthy_since_ms;   /* since when all reads have succeeded */
+  gboolean healthy;             /* the last read succeeded */
+  cb_timer_t *read_retry_timer; /* also of a read that is deferred */
+  uint64_t snapshot_offset;     /* next_offset of the last snapshot written here */
+  cb_msec_t snapshot_ended_ms;  /* when the last attempt to write one ended */
   gboolean writing_snapshot;
 
   /* Reading the operator's configuration. */
@@ -90,6 +90,10 @@
   cb_msec_t claimed_ms;           /* when that claim was appended */
   cb_msec_t scheduler_append_ms;  /* when a record of the scheduler was last appended */
   GHashTable *agent_links;        /* agent -> cb_batch_agent_link_t */
+  cb_timer_t *pass_timer;         /* set while a pass of the scheduler is deferred */
+  cb_msec_t pass_not_before_ms;   /* earliest next pass */
+  cb_msec_t turn_ms;              /* when the scheduler last had a turn */
+  cb_msec_t resumed_ms; /* when the event loop last went on after a long delay */
 
   GHashTable *unresolved_submissions; /* job that may be stored -> since when, ms */
   gboolean advice_pending;            /* a call to the advisor is under way */
@@ -119,7 +123,7 @@
 gboolean cb_batch_term_requested (void);
 void cb_batch_reload_settings (const char *part);
 Cb__BatchRecord *cb_batch_address_record (const char *name, const char *address,
-                                          const char *identity);
+                                          const char *identity, double cpu_share);
 void cb_batch_reply_metrics (cb_http_req_t *req, cb_counters_t *counters,
                              const cb_store_t *store);
 
--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -4,8 +4,13 @@
 
 #include "cmd/batch_agent.h"
 
-/* When no commands arrive from a scheduler for this long, the agent registers again. */
+/* When no commands arrive from a scheduler for this long, the agent registers again,
+   and then again after pauses that double up to REGISTER_PAUSE_MAX_MS: a scheduler that
+   is overloaded must not get more to read. */
 #define REGISTER_SILENCE_MS 3000
+#define REGISTER_PAUSE_MAX_MS 12000
+/* Longest time for which a worker accepts to hold a call for its lists. */
+#define REPORT_INTERVAL_MAX_MS 2000
 /* Interval of the timer that does periodic work. */
 #define TICK_MS 50
 /* After SIGTERM, pending calls to the worker have this long to end. */
@@ -27,6 +32,10 @@
       return;
     }
   agent->last_commands_ms = cb_batch_now_ms ();
+  agent->registration_pause_ms = REGISTER_SILENCE_MS;
+  if (envelope->worker_orders->report_interval_ms > 0)
+    agent->report_interval_ms =
+        MIN (envelope->worker_orders->report_interval_ms, REPORT_INTERVAL_MAX_MS);
   if (envelope->epoch > agent->epoch)
     {
       cb_event_unlimited (CB_LOG_INFO, "agent", "scheduler_changed",
@@ -41,8 +50,7 @@
       agent->scheduler = g_strdup (peer);
       cb_batch_agent_send_report (agent);
     }
-  else if (agent->last_commands_ms - agent->last_report_ms >
-           CB_AGENT_REPORT_INTERVAL_MS)
+  else if (agent->last_commands_ms - agent->last_report_ms > agent->report_interval_ms)
     cb_batch_agent_send_report (agent);
   if (cb_batch_agent_has_worker (agent))
     cb_batch_agent_set_commands (agent, envelope->worker_orders);
@@ -67,7 +75,10 @@
   agent->registering = FALSE;
   if (err < 0)
     agent->registration_ms =
-        cb_batch_now_ms () - REGISTER_SILENCE_MS + CB_AGENT_RETRY_MS;
+        cb_batch_now_ms () - agent->registration_pause_ms + CB_AGENT_RETRY_MS;
+  else
+    agent->registration_pause_ms =
+        MIN (2 * agent->registration_pause_ms, REGISTER_PAUSE_MAX_MS);
   /* A failed registration has the same event name, with an ERR other than 0. */
   cb_event (err < 0 ? CB_LOG_WARN : CB_LOG_INFO, "agent", "registered",
             "err=%d offset=%" PRIu64, err, offset);
@@ -86,7 +97,7 @@
   record->body_case = CB__RECORD__BODY_BATCH;
   record->time_ms = (uint64_t)cb_clock_wall (cb_clock_system ());
   record->batch = cb_batch_address_record (agent->settings->name,
-                                           agent->settings->wire_address, NULL);
+                                           agent->settings->wire_address, NULL, 0);
   cb_msg_append ((void ***)&batch->records, &batch->n_records, record);
   bytes = cb_msg_pack (&batch->base);
   data = g_bytes_get_data (bytes, &size);
@@ -116,7 +127,8 @@
       cb_loop_stop (agent->loop);
       return;
     }
-  if (!agent->registering && now_ms - agent->registration_ms > REGISTER_SILENCE_MS &&
+  if (!agent->registering &&
+      now_ms - agent->registration_ms > agent->registration_pause_ms &&
       now_ms - agent->last_commands_ms > REGISTER_SILENCE_MS)
     register_agent (agent);
   cb_batch_agent_poll_worker (agent);
@@ -138,6 +150,8 @@
   agent.commands = cb_batch_agent_commands_new ();
   agent.last_commands_ms = cb_batch_now_ms () - REGISTER_SILENCE_MS - 1;
   agent.registration_ms = agent.last_commands_ms;
+  agent.registration_pause_ms = REGISTER_SILENCE_MS;
+  agent.report_interval_ms = CB_AGENT_REPORT_INTERVAL_MS;
   if (cb_wire_listen (agent.loop, settings->wire_address, on_envelope, &agent,
                       &agent.wire) < 0 ||
       cb_http_listen (agent.loop, settings->control_address, cb_batch_agent_on_control,
--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -10,7 +10,8 @@
 
 /* Pause before a call to the worker or a registration is repeated. */
 #define CB_AGENT_RETRY_MS 150
-/* An unchanged report is sent again after this time. */
+/* An unchanged report is sent again after this time, unless the scheduler states
+   another interval. */
 #define CB_AGENT_REPORT_INTERVAL_MS 450
 
 typedef struct cb_batch_agent
@@ -30,14 +31,16 @@
   cb_msec_t registration_ms;  /* when the last registration was sent; after a failed
                                  one, earlier, so that the next follows
                                  CB_AGENT_RETRY_MS after the failure */
+  cb_msec_t registration_pause_ms; /* until the next registration */
   gboolean registering;
 
   char *worker_address;
-  Cb__WorkerReport *report;    /* description and newest lists of the worker; no worker
-                                  is known while the field `worker` is empty */
-  uint64_t heartbeat_sequence; /* of the newest heartbeat */
-  uint64_t lists_epoch;        /* epoch under which the lists were read; 0: none */
-  cb_msec_t last_report_ms;    /* when a report was last sent */
+  Cb__WorkerReport *report;     /* description and newest lists of the worker; no worker
+                                   is known while the field `worker` is empty */
+  uint64_t heartbeat_sequence;  /* of the newest heartbeat */
+  uint64_t lists_epoch;         /* epoch under which the lists were read; 0: none */
+  cb_msec_t last_report_ms;     /* when a report was last sent */
+  cb_msec_t report_interval_ms; /* at which unchanged reports are sent */
   size_t reported_running; /* length of report->running when apply_lists last sent it */
   size_t reported_ended;   /* the same for report->ended */
 
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -4,9 +4,6 @@
 
 #include "cmd/batch_agent.h"
 
-/* The worker replies to a call for its lists when a task ends, or after this time. */
-#define POLL_WAIT_MS 400
-
 /* One call for the worker's lists. */
 typedef struct
 {
@@ -87,8 +84,9 @@
 }
 
 /* Takes over the lists that POLL returned, unless the agent has lists of the same epoch
-   with a newer clock. Reports them if the epoch or the length of a list has changed, or
-   the last report is CB_AGENT_REPORT_INTERVAL_MS old. */
+   with a newer clock. Reports them if the epoch or the length of a list has changed,
+   other than by ends that the worker has dropped, or the last report is
+   report_interval_ms old. */
 static void
 apply_lists (cb_batch_agent_t *agent, const poll_t *poll, const Cb__WorkerReport *lists)
 {
@@ -100,17 +98,17 @@
     return;
   changed = agent->lists_epoch != poll->epoch ||
             lists->n_running != agent->reported_running ||
-            lists->n_ended != agent->reported_ended;
+            lists->n_ended > agent->reported_ended;
+  agent->reported_ended = lists->n_ended;
   agent->lists_epoch = poll->epoch;
   move_lists (agent->report, (Cb__WorkerReport *)lists);
   cb_batch_agent_resolve_commands (agent, poll->number);
   changed = changed || rejected != agent->report->n_rejected ||
             absent != agent->report->n_absent;
   if (!changed &&
-      cb_batch_now_ms () - agent->last_report_ms < CB_AGENT_REPORT_INTERVAL_MS)
+      cb_batch_now_ms () - agent->last_report_ms < agent->report_interval_ms)
     return;
   agent->reported_running = agent->report->n_running;
-  agent->reported_ended = agent->report->n_ended;
   cb_batch_agent_send_report (agent);
 }
 
@@ -183,7 +181,8 @@
   cb_batch_agent_poll_worker (agent);
 }
 
-/* Calls the worker for its lists, unless such a call is under way, the pause after a
+/* Calls the worker for its lists, which it returns when a task ends or a report is due,
+   unless such a call is under way, the pause after a
    failed call is not over, or the worker has refused the current epoch. The call also
    extends the worker's lease. A pending call under an earlier epoch is not waited for:
    the new scheduler needs the lists before it can place tasks. */
@@ -209,8 +208,9 @@
   agent->poll_epoch = agent->epoch;
   target = cb_batch_agent_worker_target (agent);
   cb_worker_long_poll (agent->loop, &target, agent->last_durable_end,
-                       agent->lists_epoch == agent->epoch ? POLL_WAIT_MS : 0, on_lists,
-                       poll);
+                       agent->lists_epoch == agent->epoch ? agent->report_interval_ms
+                                                          : 0,
+                       on_lists, poll);
 }
 
 /* Replaces the worker's description by NEXT, which was read from a heartbeat, and takes
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -1,8 +1,10 @@
 /* The command `carobrun batch-entry`: start, timer and end of the process. */
 #include "cmd/batch.h"
 
-/* Interval of the timer that does periodic work. */
+/* Interval of periodic work: of the scheduler and while records wait to be appended,
+   and otherwise. */
 #define TICK_MS 25
+#define IDLE_TICK_MS 100
 /* After SIGTERM, requests are accepted for this long: the load balancer checks once a
    second and removes the entry after two failed checks, and callers keep connections
    open. */
@@ -57,12 +59,17 @@
 {
   cb_batch_entry_t *entry = ctx;
   cb_msec_t now_ms = cb_batch_now_ms ();
+  gboolean busy;
 
   cb_batch_reload_settings ("entry");
   continue_shutdown (entry, now_ms);
   cb_batch_process_due (entry);
   cb_batch_snapshot_tick (entry, now_ms);
   cb_batch_register_address (entry);
+  busy = entry->own_epoch != 0 || cb_writer_pending (entry->writer) > 0;
+  cb_timer_free (entry->tick_timer);
+  entry->tick_timer =
+      cb_timer_new (entry->loop, busy ? TICK_MS : IDLE_TICK_MS, 0, on_tick, entry);
 }
 
 /* Returns an empty job state with the parameters of ENTRY's settings. Freed with
@@ -109,7 +116,7 @@
                       settings->caller_address);
   cb_batch_log_start (&entry);
   cb_batch_config_start (&entry);
-  entry.tick_timer = cb_timer_new (entry.loop, 0, TICK_MS, on_tick, &entry);
+  entry.tick_timer = cb_timer_new (entry.loop, 0, 0, on_tick, &entry);
   cb_loop_run (entry.loop);
   cb_event_unlimited (CB_LOG_INFO, "entry", "stopped", "name=%s", entry.identity);
   return CB_EXIT_DONE;
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -8,20 +8,32 @@
    role. The scheduler appends at least one record every HEARTBEAT_MS. */
 #define SILENCE_MS 1000
 #define HEARTBEAT_MS 250
-/* Each entry delays its claim by up to this time, by a hash of its name, so that
-   usually a single entry claims the role. */
-#define CLAIM_STAGGER_MS 250
-/* The same when the scheduler has resigned or no entry has been the scheduler yet. */
-#define VACANT_CLAIM_STAGGER_MS 80
+/* Entries claim one after the other in an order that all of them derive from the log,
+   so that usually a single entry claims the role: the claim of an entry is delayed by
+   CLAIM_STEP_MS for each entry before it, which suffices for an append and its read. */
+#define CLAIM_STEP_MS 25
+#define CLAIM_DELAY_MAX_MS 1000
+/* Before an entry is registered, it delays its claim by up to UNRANKED_STAGGER_MS, by a
+   hash of its name, and by up to UNRANKED_WEAK_MS more the less processor time it has;
+   none of this from UNRANKED_STRONG_SHARE of a core on. */
+#define UNRANKED_STAGGER_MS 80
+#define UNRANKED_WEAK_MS 400
+#define UNRANKED_STRONG_SHARE 0.5
 /* A claim that the log has not shown after this long is appended again. While the store
    is healthy, an append takes at most 1.0 s. */
 #define CLAIM_RETRY_MS 1500
-/* The connection to an agent that has not reported for this long is opened again. An
-   agent reports twice a second. */
-#define AGENT_SILENCE_MS 1500
-/* Unchanged commands are sent again after this time, as an agent reports when it
-   receives commands. */
-#define COMMANDS_INTERVAL_MS 400
+/* The connection to an agent that has not reported for the interval of reports plus
+   this time is opened again. */
+#define AGENT_LATE_MS 1050
+/* Unchanged commands are sent again after this time and the interval of reports. */
+#define COMMANDS_LATE_MS 250
+/* After a pass, the scheduler rests for PASS_REST times as long as the pass took, so
+   that reports, reads and heartbeats are handled in time on a slow instance. */
+#define PASS_REST 3
+#define PASS_REST_MAX_MS 400
+/* A turn of the scheduler that comes later than this shows that the process did not run
+   or was overloaded. What the others sent meanwhile has not been received yet. */
+#define TURN_LATE_MS 400
 
 static Cb__BatchRecord *
 new_record (Cb__BatchRecord__BodyCase body_case)
@@ -97,9 +109,7 @@
   link->last_report_ms = now_ms;
   cb_batch_handle_report (entry->batch, link->agent, envelope->worker_report, now_ms);
   cb_batch_process_due (entry);
-  /* Commands carry the lease, so each report is answered with them, unless
-     cb_batch_process_due has just sent them. */
-  if (entry->own_epoch != 0 && link->last_commands_ms != now_ms)
+  if (entry->own_epoch != 0 && cb_batch_commands_due (entry->batch, link->agent))
     send_commands (entry, link, now_ms);
 }
 
@@ -120,12 +130,21 @@
   send_commands (entry, link, now_ms);
 }
 
+/* Returns the time from which on the silence of LINK's agent counts: its last report,
+   or a later time at which it could not be heard yet. */
+static cb_msec_t
+silent_since_ms (const cb_batch_entry_t *entry, const cb_batch_agent_link_t *link)
+{
+  return MAX (MAX (link->last_report_ms, link->connected_ms), entry->resumed_ms);
+}
+
 static void
 check_agent (void *ctx, const char *name, const char *address)
 {
   cb_batch_entry_t *entry = ctx;
   cb_batch_agent_link_t *link = g_hash_table_lookup (entry->agent_links, name);
   cb_msec_t now_ms = cb_batch_now_ms ();
+  cb_msec_t interval_ms = cb_batch_report_interval_ms (entry->batch);
 
   if (link == NULL)
     {
@@ -144,7 +163,7 @@
       connect_agent (entry, link, now_ms);
       return;
     }
-  if (now_ms - MAX (link->last_report_ms, link->connected_ms) > AGENT_SILENCE_MS)
+  if (now_ms - silent_since_ms (entry, link) > interval_ms + AGENT_LATE_MS)
     {
       /* since_ms is a duration: since the last report, or the connection. */
       cb_event (CB_LOG_WARN, "entry", "agent_silent",
@@ -154,11 +173,20 @@
       connect_agent (entry, link, now_ms);
     }
   else if (link->wire != NULL &&
-           (cb_batch_commands_changed (entry->batch, name) ||
-            now_ms - link->last_commands_ms > COMMANDS_INTERVAL_MS))
+           now_ms - link->last_commands_ms > interval_ms + COMMANDS_LATE_MS)
     send_commands (entry, link, now_ms);
 }
 
+static void
+send_changed_commands (void *ctx, const char *agent)
+{
+  cb_batch_entry_t *entry = ctx;
+  cb_batch_agent_link_t *link = g_hash_table_lookup (entry->agent_links, agent);
+
+  if (link != NULL && link->wire != NULL)
+    send_commands (entry, link, cb_batch_now_ms ());
+}
+
 static void
 append_heartbeat (cb_batch_entry_t *entry, gboolean resigns, cb_msec_t now_ms)
 {
@@ -195,6 +223,21 @@
   cb_batch_append (entry, record, NULL, NULL);
 }
 
+/* Returns the time in ms by which this entry delays its claim, so that those that
+   should have the role rather claim it first. */
+static cb_msec_t
+claim_stagger_ms (const cb_batch_entry_t *entry)
+{
+  uint32_t rank;
+  double weakness;
+
+  if (cb_batch_claim_rank (entry->batch, entry->settings->name, &rank))
+    return MIN ((cb_msec_t)rank * CLAIM_STEP_MS, CLAIM_DELAY_MAX_MS);
+  weakness = 1 - MIN (1, entry->settings->cpu_share / UNRANKED_STRONG_SHARE);
+  return g_str_hash (entry->settings->name) % UNRANKED_STAGGER_MS +
+         (cb_msec_t)(weakness * UNRANKED_WEAK_MS);
+}
+
 /* Returns how long after NOW_MS this entry may claim the scheduler's role if the log
    shows no further record of the scheduler, in ms; 0 or less: at once. While the entry
    is the scheduler, returns SILENCE_MS. */
@@ -202,14 +245,13 @@
 cb_batch_scheduler_claim_delay_ms (const cb_batch_entry_t *entry, cb_msec_t now_ms)
 {
   cb_msec_t seen_ms = cb_batch_scheduler_seen_ms (entry->batch);
-  cb_msec_t stagger_ms = g_str_hash (entry->settings->name) % CLAIM_STAGGER_MS;
 
   if (entry->own_epoch != 0)
     return SILENCE_MS;
   if (seen_ms == 0)
-    return entry->healthy_since_ms +
-           stagger_ms * VACANT_CLAIM_STAGGER_MS / CLAIM_STAGGER_MS - now_ms;
-  return MAX (seen_ms, entry->healthy_since_ms) + SILENCE_MS + stagger_ms - now_ms;
+    return entry->healthy_since_ms + claim_stagger_ms (entry) - now_ms;
+  return MAX (seen_ms, entry->healthy_since_ms) + SILENCE_MS +
+         claim_stagger_ms (entry) - now_ms;
 }
 
 /* Claims the scheduler's role when the log shows no record of the scheduler for too
@@ -269,6 +311,47 @@
     append_heartbeat (entry, TRUE, cb_batch_now_ms ());
 }
 
+static void
+on_pass_timer (void *ctx)
+{
+  cb_batch_entry_t *entry = ctx;
+
+  cb_timer_free (entry->pass_timer);
+  entry->pass_timer = NULL;
+  cb_batch_process_due (entry);
+}
+
+/* Makes the due decisions, appends their records and checks the connections to the
+   agents, unless the rest after the last pass is not over: the pass is then
+   deferred. */
+static void
+run_pass (cb_batch_entry_t *entry, cb_msec_t now_ms)
+{
+  Cb__BatchRecord *record;
+  cb_msec_t took_ms;
+
+  if (now_ms < entry->pass_not_before_ms)
+    {
+      if (entry->pass_timer == NULL)
+        entry->pass_timer = cb_timer_new (
+            entry->loop, entry->pass_not_before_ms - now_ms, 0, on_pass_timer, entry);
+      return;
+    }
+  if (entry->term_ms == 0)
+    cb_batch_tick (entry->batch, now_ms, cb_clock_wall (entry->clock));
+  cb_batch_advice_tick (entry, now_ms);
+  while ((record = cb_batch_pop_record (entry->batch)) != NULL)
+    {
+      entry->scheduler_append_ms = now_ms;
+      cb_batch_append (entry, record, on_record_appended, NULL);
+    }
+  cb_batch_foreach_agent (entry->batch, check_agent, entry);
+  took_ms = cb_batch_now_ms () - now_ms;
+  cb_counters_observe (entry->counters, "scheduler_pass_duration_ms", NULL, took_ms);
+  entry->pass_not_before_ms =
+      now_ms + took_ms + MIN (took_ms * PASS_REST, PASS_REST_MAX_MS);
+}
+
 /* As the scheduler, makes due decisions, sends advice requests, appends records and
    heartbeats, and sends commands; otherwise claims the role when the scheduler is
    silent. After SIGTERM, makes no new decisions, sends no heartbeats and does not
@@ -276,8 +359,6 @@
 void
 cb_batch_scheduler_tick (cb_batch_entry_t *entry, cb_msec_t now_ms)
 {
-  Cb__BatchRecord *record;
-
   if (entry->agent_links == NULL)
     entry->agent_links =
         g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link);
@@ -287,15 +368,11 @@
         check_scheduler_silence (entry, now_ms);
       return;
     }
-  if (entry->term_ms == 0)
-    cb_batch_tick (entry->batch, now_ms, cb_clock_wall (entry->clock));
-  cb_batch_advice_tick (entry, now_ms);
-  while ((record = cb_batch_pop_record (entry->batch)) != NULL)
-    {
-      entry->scheduler_append_ms = now_ms;
-      cb_batch_append (entry, record, on_record_appended, NULL);
-    }
+  if (now_ms - entry->turn_ms > TURN_LATE_MS)
+    entry->resumed_ms = now_ms;
   if (now_ms - entry->scheduler_append_ms > HEARTBEAT_MS && entry->term_ms == 0)
     append_heartbeat (entry, FALSE, now_ms);
-  cb_batch_foreach_agent (entry->batch, check_agent, entry);
+  run_pass (entry, now_ms);
+  cb_batch_foreach_changed (entry->batch, send_changed_commands, entry);
+  entry->turn_ms = cb_batch_now_ms ();
 }
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -14,6 +14,11 @@
    can be missed by the read, which then returns only with the next record: the
    scheduler's heartbeat, up to 0.25 s later. This happened for 3% of the appends. */
 #define REREAD_DELAY_MS 10
+/* An entry that is not the scheduler pauses for FOLLOW_PAUSE_MS for each registered
+   entry after a read that returned records, up to FOLLOW_PAUSE_MAX_MS: the scheduler
+   appends many records a second, and each would cost a read of each entry. */
+#define FOLLOW_PAUSE_MS 4
+#define FOLLOW_PAUSE_MAX_MS 200
 /* While the log can't be read, a record that was never sent is given up after this
    time: about half of the 3 s that a caller waits, so that the caller can try again. */
 #define OUTAGE_GIVE_UP_MS 1400
@@ -54,8 +59,14 @@
 
   cb_timer_free (entry->reread_timer);
   entry->reread_timer = NULL;
-  if (entry->next_offset >= entry->known_end_offset || entry->pending_read == NULL ||
-      entry->pending_read->wait_ms == 0)
+  if (entry->next_offset >= entry->known_end_offset)
+    return;
+  if (entry->read_retry_timer != NULL && entry->healthy)
+    {
+      read_log (entry);
+      return;
+    }
+  if (entry->pending_read == NULL || entry->pending_read->wait_ms == 0)
     return;
   cb_counters_add (entry->counters, "store_reads_repeated_total", NULL, 1);
   entry->pending_read = NULL;
@@ -145,11 +156,22 @@
 }
 
 static void
-retry_read_later (cb_batch_entry_t *entry)
+read_later (cb_batch_entry_t *entry, cb_msec_t delay_ms)
 {
   cb_timer_free (entry->read_retry_timer);
-  entry->read_retry_timer =
-      cb_timer_new (entry->loop, READ_RETRY_MS, 0, read_log, entry);
+  entry->read_retry_timer = cb_timer_new (entry->loop, delay_ms, 0, read_log, entry);
+}
+
+/* Returns how long to wait before the next read, after one that returned COUNT
+   records. */
+static cb_msec_t
+follow_pause_ms (const cb_batch_entry_t *entry, size_t count)
+{
+  if (entry->own_epoch != 0 || count == 0 || !entry->caught_up ||
+      entry->next_offset < entry->known_end_offset)
+    return 0;
+  return MIN (cb_batch_entry_count (entry->batch) * FOLLOW_PAUSE_MS,
+              FOLLOW_PAUSE_MAX_MS);
 }
 
 static void
@@ -166,7 +188,7 @@
                           "next=%" PRIu64 " first=%" PRIu64, entry->next_offset, first);
       entry->snapshot_read = FALSE;
     }
-  retry_read_later (entry);
+  read_later (entry, READ_RETRY_MS);
 }
 
 static void
@@ -178,6 +200,7 @@
   cb_msec_t sent_ms = read->sent_ms;
   cb_msec_t wait_ms = count == 0 ? read->wait_ms : 0;
   gboolean current = read == entry->pending_read;
+  cb_msec_t pause_ms;
 
   g_free (read);
   if (!current)
@@ -213,7 +236,11 @@
     }
   cb_batch_scheduler_check_role (entry);
   cb_batch_process_due (entry);
-  read_log (entry);
+  pause_ms = follow_pause_ms (entry, count);
+  if (pause_ms > 0)
+    read_later (entry, pause_ms);
+  else
+    read_log (entry);
 }
 
 static void
@@ -223,7 +250,7 @@
   if (entry->snapshot_read)
     read_log (entry);
   else
-    retry_read_later (entry);
+    read_later (entry, READ_RETRY_MS);
 }
 
 /* Returns how long a read may wait for a record: not at all after a failure or while
--- a/cmd/batch_process.c
+++ b/cmd/batch_process.c
@@ -98,10 +98,12 @@
 }
 
 /* Returns a record that registers ADDRESS for the process NAME: the address for callers
-   of an entry whose incarnation is IDENTITY, or, when IDENTITY is NULL, the address for
-   commands of an agent. The caller owns the record. */
+   of an entry whose incarnation is IDENTITY and which may use CPU_SHARE of a core, or,
+   when IDENTITY is NULL, the address for commands of an agent. The caller owns the
+   record. */
 Cb__BatchRecord *
-cb_batch_address_record (const char *name, const char *address, const char *identity)
+cb_batch_address_record (const char *name, const char *address, const char *identity,
+                         double cpu_share)
 {
   Cb__BatchRecord *record = cb_msg_new (&cb__batch_record__descriptor);
 
@@ -112,6 +114,7 @@
   record->agent->entry = identity != NULL;
   if (identity != NULL)
     cb_msg_set_string (&record->agent->identity, identity);
+  record->agent->cpu_milli = (uint32_t)(cpu_share * 1000);
   return record;
 }
 
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -1873,7 +1873,7 @@
   (ProtobufCMessageInit) cb__batch_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_agent__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cb__batch_agent__field_descriptors[5] =
 {
   {
     "name",
@@ -1923,9 +1923,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchAgent, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_agent__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  4,   /* field[4] = cpu_milli */
   2,   /* field[2] = entry */
   3,   /* field[3] = identity */
   0,   /* field[0] = name */
@@ -1933,7 +1946,7 @@
 static const ProtobufCIntRange cb__batch_agent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cb__batch_agent__descriptor =
 {
@@ -1943,7 +1956,7 @@
   "Cb__BatchAgent",
   "cb",
   sizeof(Cb__BatchAgent),
-  4,
+  5,
   cb__batch_agent__field_descriptors,
   cb__batch_agent__field_indices_by_name,
   1,  cb__batch_agent__number_ranges,
@@ -2810,7 +2823,7 @@
   (ProtobufCMessageInit) cb__task_pace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__worker_orders__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cb__worker_orders__field_descriptors[8] =
 {
   {
     "worker",
@@ -2896,12 +2909,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "report_interval_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__WorkerOrders, report_interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__worker_orders__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   3,   /* field[3] = last_seen */
   2,   /* field[2] = lease_until_ms */
   6,   /* field[6] = paces */
+  7,   /* field[7] = report_interval_ms */
   4,   /* field[4] = starts */
   5,   /* field[5] = stops */
   0,   /* field[0] = worker */
@@ -2909,7 +2935,7 @@
 static const ProtobufCIntRange cb__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cb__worker_orders__descriptor =
 {
@@ -2919,7 +2945,7 @@
   "Cb__WorkerOrders",
   "cb",
   sizeof(Cb__WorkerOrders),
-  7,
+  8,
   cb__worker_orders__field_descriptors,
   cb__worker_orders__field_indices_by_name,
   1,  cb__worker_orders__number_ranges,
@@ -3313,7 +3339,7 @@
   (ProtobufCMessageInit) cb__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__platform_settings__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cb__platform_settings__field_descriptors[21] =
 {
   {
     "name",
@@ -3555,12 +3581,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_share",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cb__PlatformSettings, cpu_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__platform_settings__field_indices_by_name[] = {
   19,   /* field[19] = advisor_address */
   1,   /* field[1] = availability_zone */
   3,   /* field[3] = caller_address */
   5,   /* field[5] = control_address */
+  20,   /* field[20] = cpu_share */
   12,   /* field[12] = grace_s */
   11,   /* field[11] = hold_max_ms */
   17,   /* field[17] = keep_s */
@@ -3581,7 +3620,7 @@
 static const ProtobufCIntRange cb__platform_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor cb__platform_settings__descriptor =
 {
@@ -3591,7 +3630,7 @@
   "Cb__PlatformSettings",
   "cb",
   sizeof(Cb__PlatformSettings),
-  20,
+  21,
   cb__platform_settings__field_descriptors,
   cb__platform_settings__field_indices_by_name,
   1,  cb__platform_settings__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -272,10 +272,14 @@
    * of an entry's process, as in its claims; empty: not stated
    */
   char *identity;
+  /*
+   * of an entry: thousandths of a core that it may use; 0: not stated
+   */
+  uint32_t cpu_milli;
 };
 #define CB__BATCH_AGENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_agent__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cb__BatchStarts
@@ -490,10 +494,14 @@
   Cb__TaskRun **stops;
   size_t n_paces;
   Cb__TaskPace **paces;
+  /*
+   * at which unchanged reports are due; 0: the agent's default
+   */
+  uint32_t report_interval_ms;
 };
 #define CB__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__worker_orders__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Cb__RunningTask
@@ -635,10 +643,14 @@
    * limit on log lines; 0: 200
    */
   uint32_t log_lines_per_s;
+  /*
+   * entries: share of a core that the process may use; 0: unknown
+   */
+  double cpu_share;
 };
 #define CB__PLATFORM_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__platform_settings__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /* Cb__BatchStep methods */
