Refuse at once while the log is known to be lost

Change: batch/outage.c decides when the log is lost: after two failed reads in a row, or a failed one and 0.45 s without an answer, so not after a single late answer. From then on new submissions and cancellations get 503 at once, and unsent records are given up at once. Retry-After grows with the outage's age, or is what is left of the duration of earlier ones, and is spread by a hash of the request. The read that is repeated every 150 ms finds the store's return. While the log is lost the scheduler decides nothing.

Callers wait at most 3 s in all, whatever Retry-After says, so no more of those who come in the first 7 s of a silent store can be served.

--- a/batch/dat.h
+++ b/batch/dat.h
@@ -116,6 +116,15 @@
   const char *ticket;
 } cb_batch_permit_t;
 
+/* What a process knows of the outages of the log. All zero at the start. */
+typedef struct
+{
+  cb_msec_t answered_ms; /* when the log last answered a call; 0: not yet */
+  cb_msec_t failed_ms;   /* of the first failed call since then */
+  uint32_t failures;     /* failed calls since then */
+  double typical_ms;     /* moving average of the outages' durations; 0: none yet */
+} cb_outage_t;
+
 /* Totals for metrics. */
 typedef struct
 {
--- a/batch/fns.h
+++ b/batch/fns.h
@@ -56,6 +56,13 @@
 int cb_batch_admit (const cb_batch_t *batch, const Cb__BatchJob *job,
                     cb_msec_t *retry_after_ms);
 
+/* outage.c */
+void cb_outage_note_answer (cb_outage_t *outage, cb_msec_t now_ms);
+void cb_outage_note_failure (cb_outage_t *outage, cb_msec_t now_ms);
+gboolean cb_outage_is_lost (const cb_outage_t *outage, cb_msec_t now_ms);
+cb_msec_t cb_outage_retry_after_ms (const cb_outage_t *outage, const char *key,
+                                    cb_msec_t now_ms);
+
 /* advice.c */
 cb_batch_advice_request_t *cb_batch_pop_advice_request (cb_batch_t *batch);
 void cb_batch_advice_request_free (cb_batch_advice_request_t *request);
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -69,6 +69,7 @@
   cb_timer_t *reread_timer;
   cb_msec_t last_read_ms;       /* when the last successful read was sent */
   cb_msec_t applied_until_ms;   /* all records stored before this time are applied */
+  cb_outage_t outage;
   cb_msec_t healthy_since_ms;   /* since when all reads have succeeded */
   gboolean healthy;             /* the last read succeeded */
   cb_timer_t *read_retry_timer; /* also of a read that is deferred */
@@ -131,6 +132,8 @@
 void cb_batch_log_start (cb_batch_entry_t *entry);
 void cb_batch_append (cb_batch_entry_t *entry, Cb__BatchRecord *record,
                       cb_batch_append_done_t done, void *ctx);
+gboolean cb_batch_log_is_lost (const cb_batch_entry_t *entry);
+void cb_batch_log_limit_waits (cb_batch_entry_t *entry);
 gboolean cb_batch_log_is_fresh (const cb_batch_entry_t *entry, cb_msec_t age_ms);
 
 /* batch_config.c */
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -1,8 +1,8 @@
 /* The command `carobrun batch-entry`: start, timer and end of the process. */
 #include "cmd/batch.h"
 
-/* Interval of periodic work: of the scheduler and while records wait to be appended,
-   and otherwise. */
+/* Interval of periodic work: of the scheduler and while records wait to be appended
+   or the log does not answer, and otherwise. */
 #define TICK_MS 25
 #define IDLE_TICK_MS 100
 /* After SIGTERM, requests are accepted for this long: the load balancer checks once a
@@ -23,6 +23,7 @@
 {
   cb_msec_t now_ms = cb_batch_now_ms ();
 
+  cb_batch_log_limit_waits (entry);
   cb_batch_scheduler_tick (entry, now_ms);
   cb_writer_tick (entry->writer, now_ms);
 }
@@ -66,7 +67,8 @@
   cb_batch_process_due (entry);
   cb_batch_snapshot_tick (entry, now_ms);
   cb_batch_register_address (entry);
-  busy = entry->own_epoch != 0 || cb_writer_pending (entry->writer) > 0;
+  busy = entry->own_epoch != 0 || cb_writer_pending (entry->writer) > 0 ||
+         !entry->healthy;
   cb_timer_free (entry->tick_timer);
   entry->tick_timer =
       cb_timer_new (entry->loop, busy ? TICK_MS : IDLE_TICK_MS, 0, on_tick, entry);
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -6,15 +6,11 @@
 /* The entry replies that a job does not exist only if its last read of the log is at
    most this old. */
 #define UNKNOWN_JOB_LOG_AGE_MS 2500
-/* When the last successful read of the log is older than this, a submission is refused
-   at once. Until then its append is tried, as most outages are shorter than the time
-   for which callers retry. */
-#define SUBMIT_LOG_AGE_MS 12000
 /* An entry whose last successful read of the log is older than this fails the health
    check. */
 #define READY_LOG_AGE_MS 3000
-/* Retry-After of requests that an outage of the store prevented. */
-#define OUTAGE_RETRY_AFTER_MS 1000
+/* Retry-After of an entry that has no configuration yet. */
+#define NO_CONFIG_RETRY_AFTER_MS 1000
 /* A submission without a definite outcome is remembered for at least this long, which
    is longer than callers retry; it is removed when a later one is noted. The writer
    repeats its append until the store answers. */
@@ -70,6 +66,15 @@
   g_free (body);
 }
 
+/* Returns when the caller of REQ, which an outage of the store prevented, should come
+   back. */
+static cb_msec_t
+outage_retry_after_ms (const cb_batch_entry_t *entry, cb_http_req_t *req)
+{
+  return cb_outage_retry_after_ms (&entry->outage, cb_http_path (req),
+                                   cb_batch_now_ms ());
+}
+
 static void
 note_accepted (cb_batch_entry_t *entry, const Cb__BatchRecord *record)
 {
@@ -121,9 +126,10 @@
 refuse_if_uncertain (cb_batch_entry_t *entry, cb_http_req_t *req, const char *id)
 {
   if (!cb_batch_log_is_fresh (entry, UNKNOWN_JOB_LOG_AGE_MS))
-    cb_batch_refuse (entry, req, 503, "view_stale", OUTAGE_RETRY_AFTER_MS);
+    cb_batch_refuse (entry, req, 503, "view_stale", outage_retry_after_ms (entry, req));
   else if (g_hash_table_contains (entry->unresolved_submissions, id))
-    cb_batch_refuse (entry, req, 503, "earlier_outcome_unknown", OUTAGE_RETRY_AFTER_MS);
+    cb_batch_refuse (entry, req, 503, "earlier_outcome_unknown",
+                     outage_retry_after_ms (entry, req));
   else
     return FALSE;
   return TRUE;
@@ -154,7 +160,8 @@
   else if (err == CB_LOGC_UNAVAILABLE)
     cb_batch_refuse (entry, req, 504, "store_answer_unknown", 0);
   else
-    cb_batch_refuse (entry, req, 503, "store_unavailable", OUTAGE_RETRY_AFTER_MS);
+    cb_batch_refuse (entry, req, 503, "store_unavailable",
+                     outage_retry_after_ms (entry, req));
 }
 
 static void
@@ -170,7 +177,8 @@
   if (err == CB_OK || err == CB_LOGC_UNAVAILABLE)
     on_appended (entry, ctx, err, record);
   else
-    refuse_submission (entry, ctx, id, 503, "store_unavailable", OUTAGE_RETRY_AFTER_MS);
+    refuse_submission (entry, ctx, id, 503, "store_unavailable",
+                       outage_retry_after_ms (entry, ctx));
 }
 
 static const char *
@@ -197,10 +205,10 @@
       reply_json (entry, req, 200, "{}");
       return;
     }
-  if (!cb_batch_log_is_fresh (entry, SUBMIT_LOG_AGE_MS))
+  if (!entry->caught_up || cb_batch_log_is_lost (entry))
     {
       refuse_submission (entry, req, id, 503, "store_unavailable",
-                         OUTAGE_RETRY_AFTER_MS);
+                         outage_retry_after_ms (entry, req));
       return;
     }
   if (cb_platform_job_read (body, len, &job) < 0)
@@ -251,6 +259,12 @@
       reply_json (entry, req, 200, "{}");
       return;
     }
+  if (cb_batch_log_is_lost (entry))
+    {
+      cb_batch_refuse (entry, req, 503, "store_unavailable",
+                       outage_retry_after_ms (entry, req));
+      return;
+    }
   record = cb_msg_new (&cb__batch_record__descriptor);
   record->body_case = CB__BATCH_RECORD__BODY_CANCEL;
   record->cancel = cb_msg_new (&cb__batch_cancel__descriptor);
@@ -293,7 +307,7 @@
 
   if (entry->config == NULL)
     {
-      cb_batch_refuse (entry, req, 503, "no_config", OUTAGE_RETRY_AFTER_MS);
+      cb_batch_refuse (entry, req, 503, "no_config", NO_CONFIG_RETRY_AFTER_MS);
       return;
     }
   queue = cb_batch_config_find_queue (entry->config, cb_http_host (req),
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -337,7 +337,8 @@
             entry->loop, entry->pass_not_before_ms - now_ms, 0, on_pass_timer, entry);
       return;
     }
-  if (entry->term_ms == 0)
+  /* What is decided while the log is lost could not be stored. */
+  if (entry->term_ms == 0 && !cb_batch_log_is_lost (entry))
     cb_batch_tick (entry->batch, now_ms, cb_clock_wall (entry->clock));
   cb_batch_advice_tick (entry, now_ms);
   while ((record = cb_batch_pop_record (entry->batch)) != NULL)
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -19,9 +19,11 @@
    appends many records a second, and each would cost a read of each entry. */
 #define FOLLOW_PAUSE_MS 4
 #define FOLLOW_PAUSE_MAX_MS 200
-/* While the log can't be read, a record that was never sent is given up after this
+/* While the last read has failed, a record that was never sent is given up after this
    time: about half of the 3 s that a caller waits, so that the caller can try again. */
 #define OUTAGE_GIVE_UP_MS 1400
+/* The same once the log is known to be lost: at once. */
+#define LOST_GIVE_UP_MS 1
 
 typedef struct
 {
@@ -136,6 +138,23 @@
   return entry->caught_up && cb_batch_now_ms () - entry->last_read_ms <= age_ms;
 }
 
+/* TRUE when the log is known to be lost: no record can be appended for now. */
+gboolean
+cb_batch_log_is_lost (const cb_batch_entry_t *entry)
+{
+  return cb_outage_is_lost (&entry->outage, cb_batch_now_ms ());
+}
+
+/* Limits how long unsent records wait, by what is known of the log. Called
+   periodically. */
+void
+cb_batch_log_limit_waits (cb_batch_entry_t *entry)
+{
+  cb_writer_pause (entry->writer, entry->healthy                  ? 0
+                                  : cb_batch_log_is_lost (entry) ? LOST_GIVE_UP_MS
+                                                                 : OUTAGE_GIVE_UP_MS);
+}
+
 static void
 apply_record_batch (cb_batch_entry_t *entry, const cb_logc_record_t *data)
 {
@@ -181,13 +200,16 @@
     cb_event_unlimited (CB_LOG_WARN, "entry", "log_lost", "err=%d next=%" PRIu64, err,
                         entry->next_offset);
   entry->healthy = FALSE;
-  cb_writer_pause (entry->writer, OUTAGE_GIVE_UP_MS);
-  if (err == CB_LOGC_EXPIRED)
+  if (err != CB_LOGC_EXPIRED)
+    cb_outage_note_failure (&entry->outage, cb_batch_now_ms ());
+  else
     {
+      cb_outage_note_answer (&entry->outage, cb_batch_now_ms ());
       cb_event_unlimited (CB_LOG_WARN, "entry", "log_expired",
                           "next=%" PRIu64 " first=%" PRIu64, entry->next_offset, first);
       entry->snapshot_read = FALSE;
     }
+  cb_batch_process_due (entry);
   read_later (entry, READ_RETRY_MS);
 }
 
@@ -219,7 +241,7 @@
                           entry->next_offset);
     }
   entry->healthy = TRUE;
-  cb_writer_pause (entry->writer, 0);
+  cb_outage_note_answer (&entry->outage, cb_batch_now_ms ());
   entry->last_read_ms = sent_ms;
   entry->applied_until_ms = MIN (sent_ms + wait_ms, cb_batch_now_ms ());
   for (size_t i = 0; i < count; i++)
