--- a/batch/admit.c
+++ b/batch/admit.c
@@ -13,7 +13,7 @@
 #define RETRY_MAX_MS 10000
 
 /* Checks the structure of JOB. Returns 0 or CB_BATCH_INVALID. */
-static int
+int
 check_steps (const Cb__BatchJob *job)
 {
   uint64_t tasks = 0;
--- a/batch/fold.c
+++ b/batch/fold.c
@@ -67,6 +67,12 @@
 {
   if (find_job (b, spec->id) != NULL)
     return;
+  if (check_steps (spec) < 0)
+    {
+      cb_event (CB_LOG_WARN, "batch", "job_invalid", "job=%s steps=%zu", spec->id,
+                spec->n_steps);
+      return;
+    }
   remove_expired_jobs (b, wall_ms);
   add_job (b, spec, now_ms);
   b->dirty = TRUE;
--- a/batch/local.h
+++ b/batch/local.h
@@ -351,6 +351,9 @@
 void pace_update (cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
 void pace_add_commands (const worker_t *w, Cb__WorkerOrders *commands);
 
+/* admit.c */
+int check_steps (const Cb__BatchJob *job);
+
 /* place.c */
 void place_all (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms);
 
--- a/batch/outage.c
+++ b/batch/outage.c
@@ -28,10 +28,9 @@
     {
       double duration_ms = (double)(now_ms - outage->answered_ms);
 
-      outage->typical_ms +=
-          outage->typical_ms == 0
-              ? duration_ms
-              : DURATION_WEIGHT * (duration_ms - outage->typical_ms);
+      outage->typical_ms += outage->typical_ms == 0
+                                ? duration_ms
+                                : DURATION_WEIGHT * (duration_ms - outage->typical_ms);
     }
   outage->answered_ms = now_ms;
   outage->failures = 0;
--- a/batch/snapshot.c
+++ b/batch/snapshot.c
@@ -108,7 +108,8 @@
   job_t *job;
   size_t n = 0;
 
-  if (state->job == NULL || find_job (b, state->job->id) != NULL)
+  if (state->job == NULL || find_job (b, state->job->id) != NULL ||
+      check_steps (state->job) < 0)
     return;
   job = add_job (b, state->job, now_ms);
   job->canceled = state->canceled;
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -67,8 +67,8 @@
   cb_batch_log_read_t *pending_read; /* replies to earlier reads are ignored */
   uint64_t known_end_offset;         /* the log has all records before this offset */
   cb_timer_t *reread_timer;
-  cb_msec_t last_read_ms;       /* when the last successful read was sent */
-  cb_msec_t applied_until_ms;   /* all records stored before this time are applied */
+  cb_msec_t last_read_ms;     /* when the last successful read was sent */
+  cb_msec_t applied_until_ms; /* all records stored before this time are applied */
   cb_outage_t outage;
   cb_msec_t healthy_since_ms;   /* since when all reads have succeeded */
   gboolean healthy;             /* the last read succeeded */
--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -42,7 +42,7 @@
   cb_msec_t last_report_ms;     /* when a report was last sent */
   cb_msec_t report_interval_ms; /* at which unchanged reports are sent */
   size_t reported_running; /* length of report->running when apply_lists last sent it */
-  size_t reported_ended;   /* the same for report->ended */
+  uint64_t reported_end;   /* number of the newest end in that report */
 
   uint64_t lease_until_ms;     /* clock of the worker; 0: no lease */
   uint64_t last_durable_end;   /* ends up to this number are in the log, so the worker
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -79,14 +79,25 @@
   agent->report = cb_msg_new (&cb__worker_report__descriptor);
   agent->lease_until_ms = 0;
   agent->last_durable_end = 0;
+  agent->reported_end = 0;
   agent->lists_epoch = 0;
   g_hash_table_remove_all (agent->commands);
 }
 
+/* Returns the number of the newest end in LISTS; 0: there is none. */
+static uint64_t
+newest_end (const Cb__WorkerReport *lists)
+{
+  uint64_t newest = 0;
+
+  for (size_t i = 0; i < lists->n_ended; i++)
+    newest = MAX (newest, lists->ended[i]->number);
+  return newest;
+}
+
 /* Takes over the lists that POLL returned, unless the agent has lists of the same epoch
-   with a newer clock. Reports them if the epoch or the length of a list has changed,
-   other than by ends that the worker has dropped, or the last report is
-   report_interval_ms old. */
+   with a newer clock. Reports them if the epoch has changed, a run has started or
+   ended, or the last report is report_interval_ms old. */
 static void
 apply_lists (cb_batch_agent_t *agent, const poll_t *poll, const Cb__WorkerReport *lists)
 {
@@ -98,8 +109,7 @@
     return;
   changed = agent->lists_epoch != poll->epoch ||
             lists->n_running != agent->reported_running ||
-            lists->n_ended > agent->reported_ended;
-  agent->reported_ended = lists->n_ended;
+            newest_end (lists) > agent->reported_end;
   agent->lists_epoch = poll->epoch;
   move_lists (agent->report, (Cb__WorkerReport *)lists);
   cb_batch_agent_resolve_commands (agent, poll->number);
@@ -109,6 +119,7 @@
       cb_batch_now_ms () - agent->last_report_ms < agent->report_interval_ms)
     return;
   agent->reported_running = agent->report->n_running;
+  agent->reported_end = MAX (agent->reported_end, newest_end (agent->report));
   cb_batch_agent_send_report (agent);
 }
 
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -67,8 +67,8 @@
   cb_batch_process_due (entry);
   cb_batch_snapshot_tick (entry, now_ms);
   cb_batch_register_address (entry);
-  busy = entry->own_epoch != 0 || cb_writer_pending (entry->writer) > 0 ||
-         !entry->healthy;
+  busy =
+      entry->own_epoch != 0 || cb_writer_pending (entry->writer) > 0 || !entry->healthy;
   cb_timer_free (entry->tick_timer);
   entry->tick_timer =
       cb_timer_new (entry->loop, busy ? TICK_MS : IDLE_TICK_MS, 0, on_tick, entry);
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -150,7 +150,7 @@
 void
 cb_batch_log_limit_waits (cb_batch_entry_t *entry)
 {
-  cb_writer_pause (entry->writer, entry->healthy                  ? 0
+  cb_writer_pause (entry->writer, entry->healthy                 ? 0
                                   : cb_batch_log_is_lost (entry) ? LOST_GIVE_UP_MS
                                                                  : OUTAGE_GIVE_UP_MS);
 }
--- a/test/batch_outage_test.cc
+++ b/test/batch_outage_test.cc
@@ -1,5 +1,5 @@
-// Tests what a process concludes from failed calls to the log, and the times at which it
-// tells callers to come back.
+// Tests what a process concludes from failed calls to the log, and the times at which
+// it tells callers to come back.
 #include <gtest/gtest.h>
 
 #include <algorithm>
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -401,4 +401,51 @@
   EXPECT_EQ (sim.Status ("j"), CB_JOB_COMPLETED);
 }
 
+// Guards against a process that ends, again and again after each restart, because of
+// one odd record in the log or in a snapshot: a job with more tasks than memory,
+// without steps, or whose step depends on one that does not exist.
+TEST (Batch, OddRecordsAreSkipped)
+{
+  BatchSimulation sim (1, 1);
+  const std::vector<StepSpec> odd_steps[] = {
+    { { 4294967295u, 1 } },
+    {},
+    { { 0, 1 } },
+    { { 1, 1, 1000, false, false, false, 0, { 7 } } },
+    { { 1, 1, 1000, false, false, false, 0, { 0 } } },
+  };
+
+  for (const auto &steps : odd_steps)
+    sim.Submit ("odd", 0, steps);
+  sim.times = 4000000000u;
+  sim.Submit ("often", 0, { { 1, 1 } });
+  sim.times = 0;
+  for (auto body : { CB__BATCH_RECORD__BODY__NOT_SET, CB__BATCH_RECORD__BODY_STARTS,
+                     CB__BATCH_RECORD__BODY_ENDS })
+    {
+      Cb__BatchRecord *record = BatchSimulation::NewRecord (body);
+
+      record->epoch = sim.epoch;
+      if (body == CB__BATCH_RECORD__BODY_STARTS)
+        {
+          record->starts = NewMessage<Cb__BatchStarts> (&cb__batch_starts__descriptor);
+          cb_msg_append (reinterpret_cast<void ***> (&record->starts->starts),
+                         &record->starts->n_starts,
+                         cb_msg_new (&cb__task_start__descriptor));
+        }
+      else if (body == CB__BATCH_RECORD__BODY_ENDS)
+        {
+          record->ends = NewMessage<Cb__BatchEnds> (&cb__batch_ends__descriptor);
+          cb_msg_append (reinterpret_cast<void ***> (&record->ends->ends),
+                         &record->ends->n_ends, cb_msg_new (&cb__task_end__descriptor));
+        }
+      sim.Append (record);
+    }
+  EXPECT_EQ (sim.Status ("odd"), CB_JOB_UNKNOWN);
+  EXPECT_EQ (sim.Status ("often"), CB_JOB_UNKNOWN);
+  sim.Submit ("good", 0, { { 1, 1 } });
+  sim.Advance (2000);
+  EXPECT_EQ (sim.Status ("good"), CB_JOB_COMPLETED);
+}
+
 } // namespace
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -269,8 +269,8 @@
   site.CheckRuns ();
 }
 
-// Guards against requests that wait for a store that is known to be lost (1.4 s each, so
-// that callers had two attempts in their 3 s), and against refusals after it has
+// Guards against requests that wait for a store that is known to be lost (1.4 s each,
+// so that callers had two attempts in their 3 s), and against refusals after it has
 // returned.
 TEST (PlatformSite, RequestsAreAnsweredAtOnceWhileTheStoreIsLost)
 {
@@ -429,6 +429,30 @@
   EXPECT_EQ (site.Ends (1, "done"), 1);
 }
 
+// Guards against an agent that ends, or stops following its worker, after odd
+// heartbeats of another writer for the same worker.
+TEST (PlatformSite, OddHeartbeatsDoNotDisturbAnAgent)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  for (const std::string &odd :
+       { std::string (200000, '['), std::string (1, '\0'), std::string ("\xff\xfe"),
+         std::string (
+             "{\"service\":\"svc\",\"address\":\"127.0.0.1:70000\",\"state\":"
+             "\"ready\",\"capacity\":{\"cpu\":64000,\"memMb\":131072,\"gpu\":8},"
+             "\"seq\":1e18,\"born\":9007199254740991}"),
+         std::string ("{\"service\":\"svc\",\"address\":\"127.0.0.1:1\",\"state\":"
+                      "\"ready\",\"capacity\":{\"cpu\":99999999999999999999999},"
+                      "\"seq\":9,\"born\":1}") })
+    EXPECT_EQ (
+        site.Call (site.controls[0], "POST", "/api/instances/w0/heartbeat", odd).status,
+        400);
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 100")).status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+}
+
 TEST (PlatformSite, ColdStartOfAllEntriesKeepsAcceptedWork)
 {
   PlatformSite site (2, 1);
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -163,7 +163,8 @@
   g_free (address);
   for (const std::string wrong :
        { "", "{}", "\xff\xfe", "{\"service\":1,\"state\":\"ready\"}",
-         "{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"odd\",\"capacity\":{}}" })
+         "{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"state\":\"odd\",\"capacity\":{"
+         "}}" })
     EXPECT_EQ (cb_platform_heartbeat_read (wrong.data (), wrong.size (), &sequence,
                                            &address, report),
                CB_PLATFORM_FORMAT)
@@ -171,6 +172,57 @@
   cb_msg_free (report);
 }
 
+// Guards against an agent that follows one odd heartbeat of another writer: with an
+// address that can't be called, or a start time or sequence number that makes it ignore
+// all heartbeats of its worker from then on.
+TEST (Platform, RejectsHeartbeatsOutOfRange)
+{
+  const std::string good =
+      "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":\"ready\","
+      "\"capacity\":{\"cpu\":64000,\"memMb\":131072,\"gpu\":8},\"seq\":4,"
+      "\"born\":1700000000000}";
+  const std::vector<std::pair<std::string, std::string> > changes = {
+    { "1.2.3.4:5", "1.2.3.4:0" },
+    { "1.2.3.4:5", "1.2.3.4:65536" },
+    { "1.2.3.4:5", "1.2.3.4:8080x" },
+    { "1.2.3.4:5", "1.2.3.4:-5" },
+    { "1.2.3.4:5", "1.2.3.4" },
+    { "1.2.3.4:5", "1.2.3.4.5:5" },
+    { "1.2.3.4:5", "" },
+    { "\"seq\":4", "\"seq\":9223372036854775807" },
+    { "\"seq\":4", "\"seq\":18446744073709551616" },
+    { "\"seq\":4", "\"seq\":1e999" },
+    { "\"seq\":4", "\"seq\":1e30" },
+    { "\"seq\":4", "\"seq\":-4" },
+    { "\"seq\":4", "\"seq\":\"4\"" },
+    { "\"seq\":4", "\"seq\":" + std::string (100000, '[') },
+    { "1700000000000", "9007199254740991" },
+    { "1700000000000", "-1" },
+    { "64000", "4294967296" },
+    { "64000", "{\"a\":64000}" },
+    { "\"gpu\":8", "\"gpu\":-8" },
+    { "\"ready\"", "\"ready" },
+    { "\"ready\"", "\"re\\u0000ady\"" },
+  };
+
+  for (const auto &change : changes)
+    {
+      std::string odd = good;
+      auto *report =
+          static_cast<Cb__WorkerReport *> (cb_msg_new (&cb__worker_report__descriptor));
+      uint64_t sequence = 0;
+      char *address = nullptr;
+
+      odd.replace (odd.find (change.first), change.first.size (), change.second);
+      EXPECT_EQ (cb_platform_heartbeat_read (odd.data (), odd.size (), &sequence,
+                                             &address, report),
+                 CB_PLATFORM_FORMAT)
+          << change.second.substr (0, 40);
+      g_free (address);
+      cb_msg_free (report);
+    }
+}
+
 TEST (Platform, InvalidSettingsAreReportedWithTheFileName)
 {
   const std::string path = testing::TempDir () + "settings.yaml";
