Leave a pause of its own out of an entry's timeouts

Cause: an entry that was paused while another took over read the newer claim first and stepped down, which set the start of the scheduler's silence to its last tick before the pause; the next tick found more than the timeout and claimed the cell again 29 ms later. Change: a tick that comes later than the scheduler's heartbeat interval moves the times of the last heartbeats of peers and agents on by the pause and starts the scheduler's silence anew. MemberTest.ResumedSchedulerHearsTheOthersBeforeItClaims: before, events peer-down and silent; now none, and the entry still claims when the new scheduler ends.

--- a/member/agents.c
+++ b/member/agents.c
@@ -444,6 +444,22 @@
       send_ack (peers, name, value, FALSE);
 }
 
+/* Leaves a pause of this process of PAUSE_MS out of the timeouts of agents. */
+void
+cb_agents_skip_pause (cb_peers_t *peers, cb_msec_t pause_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->local_agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((cb_local_agent_t *)value)->last_heartbeat_ms += pause_ms;
+  g_hash_table_iter_init (&iter, peers->known_agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((cb_known_agent_t *)value)->home_lost_ms > 0)
+      ((cb_known_agent_t *)value)->home_lost_ms += pause_ms;
+}
+
 /* Removes local agents that sent no heartbeat for silence_ms, notifies drained agents,
    and reports agents as down that had no home entry for silence_ms. */
 void
--- a/member/local.h
+++ b/member/local.h
@@ -105,6 +105,7 @@
 void cb_agents_merge (cb_peers_t *peers, cb_peer_t *peer, const Cb__PeerBeat *heartbeat,
                       cb_msec_t now_ms);
 void cb_agents_peer_down (cb_peers_t *peers, cb_peer_t *peer, cb_msec_t now_ms);
+void cb_agents_skip_pause (cb_peers_t *peers, cb_msec_t pause_ms);
 void cb_agents_tick (cb_peers_t *peers, cb_msec_t now_ms);
 void cb_known_agent_free (gpointer known);
 void cb_local_agent_free (gpointer local);
--- a/member/peers.c
+++ b/member/peers.c
@@ -400,6 +400,27 @@
   peers->drained = drained;
 }
 
+/* Leaves a pause of this process, which ends at NOW_MS, out of all timeouts: heartbeats
+   of the others may be waiting in the sockets, and this process has to hear from the
+   others before it takes them for silent. */
+static void
+skip_pause (cb_peers_t *peers, cb_msec_t now_ms)
+{
+  cb_msec_t pause_ms = now_ms - peers->last_tick_ms;
+  GHashTableIter iter;
+  gpointer value;
+
+  /* The latest time at which a heartbeat that is waiting can have been sent. */
+  if (peers->scheduler_last_heartbeat_ms > 0)
+    peers->scheduler_last_heartbeat_ms = now_ms;
+  peers->scheduler_silent_since_ms = now_ms;
+  peers->silence_reported_ms = 0;
+  g_hash_table_iter_init (&iter, peers->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((cb_peer_t *)value)->last_heartbeat_ms += pause_ms;
+  cb_agents_skip_pause (peers, pause_ms);
+}
+
 /* Queues the heartbeats that are due and reports timeouts. Call at least every 50 ms.
  */
 void
@@ -408,11 +429,9 @@
   GHashTableIter iter;
   gpointer value;
 
-  /* After a pause of this process, heartbeats of the scheduler may be waiting in a
-     socket; now_ms is the latest time at which one of them can have been sent. */
-  if (peers->scheduler_last_heartbeat_ms > 0 &&
+  if (peers->started &&
       now_ms - peers->last_tick_ms > cb_member_scheduler_heartbeat_ms (peers->settings))
-    peers->scheduler_last_heartbeat_ms = now_ms;
+    skip_pause (peers, now_ms);
   peers->last_tick_ms = now_ms;
   if (!peers->started)
     {
--- a/test/member_cell_test.cc
+++ b/test/member_cell_test.cc
@@ -70,6 +70,36 @@
   EXPECT_EQ (due, 1);
 }
 
+// Guards against an entry that counts its own pause as silence of the others: resumed,
+// it read that it had been replaced and claimed the cell again 29 ms later, and it took
+// its peers and agents for lost, before it had read their heartbeats.
+TEST_F (MemberTest, ResumedSchedulerHearsTheOthersBeforeItClaims)
+{
+  Start ({ "e1", "e2" });
+  std::string old_scheduler = WaitForClaimant ();
+  ApplyClaim (old_scheduler, 10);
+  Run (3000);
+  entries[old_scheduler]->paused = true;
+  ClearEvents ();
+  std::string new_scheduler = WaitForClaimant ();
+  ASSERT_NE (new_scheduler, old_scheduler);
+  Run (4000);
+  ClearEvents ();
+  ApplyClaim (new_scheduler, 20);
+  cb_peers_t *resumed = entries[old_scheduler]->peers;
+  cb_peers_set_state (resumed, 0, 21, 20, new_scheduler.c_str (), FALSE);
+  cb_peers_set_scheduling (resumed, 0);
+  cb_peers_tick (resumed, now);
+  cb_peers_tick (resumed, now + 50);
+  EXPECT_EQ (entries[old_scheduler]->events, std::vector<std::string> ());
+  entries[old_scheduler]->paused = false;
+  Run (3000);
+  EXPECT_EQ (Claimants (), std::vector<std::string> ());
+  entries[new_scheduler]->terminated = true;
+  Run (5000);
+  EXPECT_EQ (Claimants (), std::vector<std::string> ({ old_scheduler }));
+}
+
 // Guards against a takeover that waits for the timeout although the scheduler has
 // announced that it shuts down.
 TEST_F (MemberTest, LeavingSchedulerMakesTheNextOneDueAtOnce)
