Test and measure the batch scheduler on large fleets

Tests (test/batch_size_test.cc, 240 workers in virtual time): an urgent burst while a third of the workers is cut off starts in time; a takeover under load; the number of reports a second and of answers to them; entries claim one after the other, the strongest first. The first one failed with a maximum report age of 2.1 s (134 of 160 tasks in time): work went to workers that had been cut off. The age is 1.6 s again, and longer only where the interval of reports is.

Records that are added during an append are sent as soon as it ends, not with the next tick.

--- a/batch/report.c
+++ b/batch/report.c
@@ -9,9 +9,10 @@
 #define REPORT_MS_PER_WORKER 4
 #define REPORT_INTERVAL_MIN_MS 450
 #define REPORT_INTERVAL_MAX_MS 1500
-/* A worker whose latest report is older than the interval plus this time gets no new
-   work. */
-#define REPORT_LATE_MS 1150
+/* A worker whose latest report is older than the interval plus REPORT_LATE_MS, but at
+   least REPORT_MAX_AGE_MIN_MS, gets no new work. */
+#define REPORT_LATE_MS 640
+#define REPORT_MAX_AGE_MIN_MS 1600
 
 /* Returns the interval in ms at which an agent sends unchanged reports. */
 cb_msec_t
@@ -26,7 +27,7 @@
 cb_msec_t
 report_max_age_ms (const cb_batch_t *b)
 {
-  return cb_batch_report_interval_ms (b) + REPORT_LATE_MS;
+  return MAX (REPORT_MAX_AGE_MIN_MS, cb_batch_report_interval_ms (b) + REPORT_LATE_MS);
 }
 
 /* Returns the local time in ms at which a lease granted at GRANTED_MS has expired even
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -37,6 +37,7 @@
 
 counted place &
 counted cancel &
+counted batch &
 counted idle &
 counted appends &
 plain idle &
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -58,7 +58,8 @@
 
   /* Appending to and reading from the log. */
   cb_writer_t *writer;
-  GHashTable *appends; /* tag -> append_t of batch_log.c */
+  cb_timer_t *writer_timer; /* set while a tick of the writer is due at once */
+  GHashTable *appends;      /* tag -> append_t of batch_log.c */
   uint64_t next_tag;
   uint64_t next_offset; /* of the next record to read */
   gboolean snapshot_read;
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -86,6 +86,16 @@
         cb_timer_new (entry->loop, REREAD_DELAY_MS, 0, on_reread_timer, entry);
 }
 
+static void
+on_writer_timer (void *ctx)
+{
+  cb_batch_entry_t *entry = ctx;
+
+  cb_timer_free (entry->writer_timer);
+  entry->writer_timer = NULL;
+  cb_writer_tick (entry->writer, cb_batch_now_ms ());
+}
+
 static void
 on_append_done (void *ctx, uint64_t tag, int err, uint64_t offset)
 {
@@ -107,6 +117,9 @@
   if (append->done != NULL)
     append->done (entry, append->ctx, err, append->record);
   free_append (append);
+  /* Records that were added during the append need not wait for the next tick. */
+  if (cb_writer_pending (entry->writer) > 0 && entry->writer_timer == NULL)
+    entry->writer_timer = cb_timer_new (entry->loop, 0, 0, on_writer_timer, entry);
 }
 
 /* Appends RECORD to the log, takes ownership of it and calls DONE (may be NULL) once
--- /dev/null
+++ b/test/batch_size_test.cc
@@ -0,0 +1,149 @@
+// Tests the scheduler of batch jobs on a large fleet: what callers get in a burst, and
+// that its work and its messages do not grow with the fleet beyond bounds.
+#include "test/batch_harness.h"
+
+namespace
+{
+
+constexpr int kWorkers = 240;
+constexpr int kPerRack = 20;
+
+// Starts work that fills most of the fleet and can wait.
+void
+FillFleet (BatchSimulation &sim)
+{
+  for (int i = 0; i < 12; i++)
+    {
+      std::string id = "fill" + std::to_string (i);
+
+      StepSpec step = { 60, 2 };
+
+      step.estimate_ms = 8000;
+      sim.run_time_ms[id] = 8000;
+      sim.Submit (id, 2, { step });
+    }
+  sim.Advance (500);
+}
+
+// Guards against urgent work that starts late on a large fleet: 40 jobs in 0.8 s, while
+// a third of the workers can't be reached and the rest is full of other work. Its
+// objective leaves 1.5 s.
+TEST (BatchSize, UrgentBurstStartsInTimeWithAThirdOfTheWorkersCutOff)
+{
+  BatchSimulation sim (kWorkers, kPerRack);
+  std::map<std::string, cb_msec_t> accepted;
+
+  FillFleet (sim);
+  for (int i = 0; i < kWorkers; i += 3)
+    sim.workers[i]->reachable = false;
+  sim.Advance (1700);
+  for (int i = 0; i < 40; i++)
+    {
+      std::string id = "u" + std::to_string (i);
+
+      StepSpec step = { 4, i % 4 == 0 ? 8u : 2u };
+
+      step.estimate_ms = 2500;
+      sim.run_time_ms[id] = 2500;
+      accepted[id] = sim.now;
+      sim.Submit (id, 0, { step });
+      sim.Advance (20);
+    }
+  sim.Advance (1500);
+  int in_time = 0;
+  for (const auto &job : accepted)
+    for (int t = 0; t < 4; t++)
+      {
+        auto start = sim.first_start_ms.find (job.first + ".0.0." + std::to_string (t));
+
+        in_time +=
+            start != sim.first_start_ms.end () && start->second - job.second <= 1500;
+      }
+  EXPECT_GE (in_time, 152) << "of 160 tasks";
+}
+
+// Guards against a takeover on a large fleet that places work on the first workers that
+// report, or waits for those that never do.
+TEST (BatchSize, TakeoverUnderLoadGoesOn)
+{
+  BatchSimulation sim (kWorkers, kPerRack);
+
+  FillFleet (sim);
+  sim.Append (sim.NewHeartbeat ());
+  for (int i = 0; i < kWorkers; i += 10)
+    sim.workers[i]->reachable = false;
+  sim.Claim (sim.standby);
+  sim.run_time_ms["u"] = 1000;
+  sim.Submit ("u", 0, { { 20, 2 } });
+  cb_msec_t accepted = sim.now;
+  sim.Advance (2000);
+  for (int t = 0; t < 20; t++)
+    {
+      std::string task = "u.0.0." + std::to_string (t);
+
+      ASSERT_EQ (sim.first_start_ms.count (task), 1u) << task;
+      EXPECT_LE (sim.first_start_ms[task] - accepted, 1000);
+    }
+}
+
+// Guards against reports that reach the scheduler faster the more workers there are,
+// and against answers to each of them. The interval must leave time to renew a lease of
+// 6 s, the shortest of the known deployments.
+TEST (BatchSize, ReportsAreBoundedForAnyFleet)
+{
+  for (int workers : { 11, 64, 240, 300 })
+    {
+      BatchSimulation sim (workers, kPerRack);
+      cb_msec_t interval_ms = cb_batch_report_interval_ms (sim.primary);
+
+      EXPECT_LE (1000.0 * workers / interval_ms, 251) << workers;
+      EXPECT_LE (4 * interval_ms, 6000) << workers;
+    }
+  BatchSimulation sim (11, kPerRack);
+  sim.Advance (400);
+  EXPECT_FALSE (cb_batch_commands_due (sim.primary, "a0"));
+  Cb__WorkerReport *report = sim.workers[0]->NewReport (sim.now + 450);
+  cb_batch_handle_report (sim.primary, "a0", report, sim.now + 450);
+  EXPECT_TRUE (cb_batch_commands_due (sim.primary, "a0"));
+  cb_msg_free (cb_batch_build_commands (sim.primary, "a0", TRUE, sim.now + 450));
+  EXPECT_FALSE (cb_batch_commands_due (sim.primary, "a0"));
+  cb_msg_free (report);
+}
+
+// Guards against entries that all claim the scheduler's role at once, and against a
+// weak entry that claims it before a strong one.
+TEST (BatchSize, EntriesClaimOneAfterTheOtherTheStrongestFirst)
+{
+  BatchSimulation sim (1, 1);
+  std::set<uint32_t> ranks;
+  uint32_t rank = 0;
+
+  EXPECT_FALSE (cb_batch_claim_rank (sim.primary, "e0", &rank));
+  for (int i = 0; i < 55; i++)
+    {
+      Cb__BatchRecord *record =
+          BatchSimulation::NewRecord (CB__BATCH_RECORD__BODY_AGENT);
+
+      record->agent = NewMessage<Cb__BatchAgent> (&cb__batch_agent__descriptor);
+      cb_msg_set_string (&record->agent->name, ("e" + std::to_string (i)).c_str ());
+      cb_msg_set_string (&record->agent->address, "127.0.0.1:1");
+      record->agent->entry = TRUE;
+      record->agent->cpu_milli = i % 4 == 0 ? 500 : 120;
+      sim.Append (record);
+    }
+  EXPECT_EQ (cb_batch_entry_count (sim.primary), 55u);
+  for (int i = 0; i < 55; i++)
+    {
+      std::string name = "e" + std::to_string (i);
+      uint32_t other = 0;
+
+      ASSERT_TRUE (cb_batch_claim_rank (sim.primary, name.c_str (), &rank));
+      ASSERT_TRUE (cb_batch_claim_rank (sim.standby, name.c_str (), &other));
+      EXPECT_EQ (rank, other);
+      EXPECT_EQ (rank < 14, i % 4 == 0) << name;
+      ranks.insert (rank);
+    }
+  EXPECT_EQ (ranks.size (), 55u);
+}
+
+} // namespace
