Let a task leave a worker that rejects its start

Cause: a rejected start is placed again after 0.25 s, and the fullest worker that seems to hold the task is chosen again. Where the worker has less room than the scheduler believes, the task never starts although most workers are free. Change: the task avoids the worker for 4 s if another one suits it, as after a failed run, but the worker is not distrusted. Gangs and steps with an advisor go on as before. BatchTrust.TaskLeavesAWorkerThatRejectsIt: before, the task had not started after 2 s (and never would).

--- a/batch/learn.c
+++ b/batch/learn.c
@@ -29,6 +29,8 @@
 
   if (how == CB__RUN_END__RUN_FAILED)
     trust_run_failed (task->worker, task, now_ms);
+  else if (how == CB__RUN_END__RUN_REJECTED)
+    trust_start_rejected (task->worker, task, now_ms);
   if (how != CB__RUN_END__RUN_DONE)
     return;
   trust_restore (task->worker);
--- a/batch/local.h
+++ b/batch/local.h
@@ -48,9 +48,10 @@
                                      dangle: compare only */
   cb_msec_t planned_ms;           /* when that plan was made */
   cb_msec_t not_before_ms;        /* earliest next start, after a rejected one */
-  const worker_t *failed_on; /* of the latest failed run; may dangle: compare only */
-  cb_msec_t failed_ms;       /* when the latest failed run ended */
-  uint32_t stall_stops;      /* runs that were stopped for lack of progress */
+  const worker_t *failed_on;      /* of the latest failed or rejected run; may dangle:
+                                     compare only */
+  cb_msec_t failed_ms;            /* when that run ended */
+  uint32_t stall_stops;           /* runs that were stopped for lack of progress */
   /* Position in the job. */
   job_t *job;
   uint32_t occurrence;
@@ -313,6 +314,7 @@
 
 /* trust.c */
 void trust_run_failed (worker_t *w, task_t *task, cb_msec_t now_ms);
+void trust_start_rejected (const worker_t *w, task_t *task, cb_msec_t now_ms);
 void trust_restore (worker_t *w);
 void trust_run_progress (worker_t *w, const task_t *task, cb_msec_t now_ms);
 void trust_update (GPtrArray *capacities, cb_msec_t now_ms);
--- a/batch/trust.c
+++ b/batch/trust.c
@@ -18,8 +18,8 @@
 /* A gang fails as a whole, so a gang member may be the probe of a worker only from this
    long after the worker's quarantine; until then only other tasks may. */
 #define GANG_PROBE_DELAY_MS 3000
-/* A failed task avoids the worker of the failed run for this long, if there is another
-   one. */
+/* A failed or rejected task avoids the worker for this long, if there is another one.
+ */
 #define AVOID_FAILED_ON_MS 4000
 
 /* Updates the trust in W after a failed run of TASK, which avoids W for its next
@@ -39,6 +39,19 @@
       MAX (w->quarantine_until_ms, now_ms + MIN (quarantine_ms, QUARANTINE_MAX_MS));
 }
 
+/* Makes TASK avoid W, which rejected its start, for its next runs: the worker that
+   seems to hold it best would otherwise be chosen each time. The trust in W stays.
+   Members of a gang may need W, and where an advisor permits only some workers, a start
+   is also rejected for an expired ticket: such tasks go on to use W. */
+void
+trust_start_rejected (const worker_t *w, task_t *task, cb_msec_t now_ms)
+{
+  if (task_step (task)->advised || task_spec (task)->gang)
+    return;
+  task->failed_on = w;
+  task->failed_ms = now_ms;
+}
+
 /* Restores the trust in W after a run that ended well or made progress. */
 void
 trust_restore (worker_t *w)
--- a/test/batch_trust_test.cc
+++ b/test/batch_trust_test.cc
@@ -97,4 +97,18 @@
   EXPECT_NE (sim.FirstBusyWorker (), first);
 }
 
+// Guards against a task that never starts although most workers are free: the fullest
+// worker that seems to hold it rejects each start, and was chosen again each time.
+TEST (BatchTrust, TaskLeavesAWorkerThatRejectsIt)
+{
+  BatchSimulation sim (3, 1);
+
+  sim.SubmitAndRun ("other", 1, { { 7, 1 } }, 60000, 500);
+  Worker *fullest = sim.FirstBusyWorker ();
+  ASSERT_NE (fullest, nullptr);
+  fullest->rejects_starts = true;
+  sim.SubmitAndRun ("task", 2, { { 1, 1 } }, 500, 2000);
+  EXPECT_EQ (sim.Status ("task"), CB_JOB_COMPLETED);
+}
+
 } // namespace
