--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -233,7 +233,12 @@
   ASSERT_EQ (cb_platform_settings_read (path.c_str (), &settings), CB_OK);
   EXPECT_DOUBLE_EQ (settings->grace_s, 6.5);
   cb_msg_free (settings);
-  for (const char *wrong : { "name: e\n", "name: e\nodd: 1\n", "hold_max_ms: -1\n" })
+  const std::string entry = "name: e\ncaller_address: '127.0.0.1:1'\nstore_address: "
+                            "'127.0.0.1:2'\nhold_max_ms: 6000\n";
+  for (const std::string &wrong :
+       { std::string ("name: e\n"), std::string ("name: e\nodd: 1\n"),
+         std::string ("hold_max_ms: -1\n"), entry + "cpu_share: -1\n",
+         entry + "cpu_share: 1e30\n", entry + "cpu_share: .nan\n" })
     {
       std::ofstream (path) << wrong;
       testing::internal::CaptureStderr ();
