Test what a miss in a placement pass rules out

BatchSize.AMissRulesOutOnlyWhatNeedsAsMuch: a smaller task, a single task after a gang, and work that may preempt more are still tried after a larger one found no room in the same pass. Passes with the code as it is; it would fail if a miss ruled them out.

--- a/batch/local.h
+++ b/batch/local.h
@@ -180,11 +180,12 @@
   cb_msec_t now_ms;
   GPtrArray *capacities; /* of capacity_t, sorted by worker id, owned */
   GPtrArray *racks;      /* of GPtrArray: the capacities of each rack */
-  /* Of miss_t of place.c: what has found no capacity, and what no preemption could make
-     room for. */
+  /* Of miss_t of misses.c: what has found no capacity, and what no preemption could
+     make room for. */
   GArray *fit_misses;
   GArray *plan_misses;
-  /* How many more workers the plans of this pass may look at, see reclaim.c. */
+  /* How many more workers the plans of this pass may look at, to find work to preempt
+     and capacity to reserve. */
   int64_t preemption_budget;
   int64_t reservation_budget;
 } pass_t;
--- a/test/batch_size_test.cc
+++ b/test/batch_size_test.cc
@@ -86,6 +86,27 @@
     }
 }
 
+// Guards against a search that is left out although its outcome would differ from an
+// earlier one of the same pass: for a smaller task, for a single task after a gang, and
+// for work that may preempt what the earlier one may not.
+TEST (BatchSize, AMissRulesOutOnlyWhatNeedsAsMuch)
+{
+  BatchSimulation sim (3, 1);
+
+  sim.SubmitAndRun ("urgent", 0, { { 2, 7 } }, 60000, 300);
+  sim.SubmitAndRun ("lent", 1, { { 1, 7 } }, 60000, 300);
+  ASSERT_EQ (sim.Running ("urgent") + sim.Running ("lent"), 3);
+  sim.Submit ("a-whole", 1, { { 1, 8 } });
+  sim.Submit ("b-gang", 1, { { 4, 1, 1000, true } });
+  sim.Submit ("c-single", 1, { { 1, 1 } });
+  sim.Submit ("d-urgent", 0, { { 1, 8 } });
+  sim.Advance (1500);
+  EXPECT_EQ (sim.first_start_ms.count ("a-whole.0.0.0"), 0u);
+  EXPECT_EQ (sim.first_start_ms.count ("b-gang.0.0.0"), 0u);
+  EXPECT_EQ (sim.first_start_ms.count ("c-single.0.0.0"), 1u);
+  EXPECT_EQ (sim.first_start_ms.count ("d-urgent.0.0.0"), 1u);
+}
+
 // Guards against reports that reach the scheduler faster the more workers there are,
 // and against answers to each of them. The interval must leave time to renew a lease of
 // 6 s, the shortest of the known deployments.
