--- a/review/lib/site.hh
+++ b/review/lib/site.hh
@@ -245,6 +245,7 @@
   std::vector<Proxy *> entry_links; // of each entry to the store
   int64_t hold_max_ms = 6000;
   int64_t beat_ms = 1500;
+  int history_s = 0; // after which the store drops records; 0: it keeps all
   int64_t start_ms = NowMs ();
 
   Site (const std::string &folder, int n_entries, int n_runners)
@@ -342,7 +343,10 @@
   void
   StartStore ()
   {
-    Spawn ("store", { "review/build/carobrun-fake-store", "--listen", store });
+    if (history_s > 0)
+      Spawn ("store", { "review/build/store", store, std::to_string (history_s) });
+    else
+      Spawn ("store", { "review/build/carobrun-fake-store", "--listen", store });
   }
   void
   StartEntry (int i)
@@ -356,7 +360,9 @@
                          << "'\nready_address: '" << ready[i] << "'\nstore_address: '"
                          << entry_links[i]->listen_address << "'\nhold_max_ms: " << hold_max_ms
                          << "\ngrace_s: 6\nstop_ms: 400\nreclaim_ms: 2900\nstatus_s: 120\n"
-                            "remote_slowdown: 3\nkeep_s: 300\ncpu_share: 0.25\nlog_level: info\n";
+                            "remote_slowdown: 3\nkeep_s: "
+                         << (history_s > 0 ? history_s : 300)
+                         << "\ncpu_share: 0.25\nlog_level: info\n";
     Spawn (name, { "target/carobrun", "batch-entry", "--settings", path });
   }
   void
