--- a/review/lib/site.hh
+++ b/review/lib/site.hh
@@ -14,6 +14,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -301,6 +302,7 @@
     if (pid == 0)
       {
         std::vector<char *> argv;
+        prctl (PR_SET_PDEATHSIG, SIGKILL); // ends also when this program is killed
         int fd = open (log.c_str (), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2 (fd, 1);
         dup2 (fd, 2);
