--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -5,11 +5,13 @@
 using namespace review;
 
 int
-main (int, char **argv)
+main (int argc, char **argv)
 {
+  if (argc != 3)
+    return COULD_NOT_RUN;
   const int jobs = 10, tasks = 600;
   // The site: 11 runners of 64 cores. All tasks together need 600 of its 704 cores.
-  Site site (argv[1], 3, 11);
+  Site site (argv, 3, 11);
   int scheduler;
   int broken = 0;
   std::vector<std::string> ids;
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -4,9 +4,11 @@
 using namespace review;
 
 int
-main (int, char **argv)
+main (int argc, char **argv)
 {
-  Site site (argv[1], 3, 2);
+  if (argc != 3)
+    return COULD_NOT_RUN;
+  Site site (argv, 3, 2);
   std::string id = "00000000000000c6";
   const size_t count = 1400;
   int64_t first_ms = 0;
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -5,9 +5,11 @@
 using namespace review;
 
 int
-main (int, char **argv)
+main (int argc, char **argv)
 {
-  Site site (argv[1], 3, 8);
+  if (argc != 3)
+    return COULD_NOT_RUN;
+  Site site (argv, 3, 8);
   std::string early = "00000000000000c1", late = "00000000000000c2";
 
   if (!site.Up ())
--- a/review/lib/site.hh
+++ b/review/lib/site.hh
@@ -249,8 +249,10 @@
   int history_s = 0; // after which the store drops records; 0: it keeps all
   int64_t start_ms = NowMs ();
 
-  Site (const std::string &folder, int n_entries, int n_runners)
-      : entries (n_entries), runners (n_runners), case_dir (folder)
+  // ARGV is that of a case's program: the case's folder, and TROUBLE as run.sh read it.
+  Site (char **argv, int n_entries, int n_runners)
+      : entries (n_entries), runners (n_runners), case_dir (argv[1]),
+        trouble_ (strcmp (argv[2], "0") != 0)
   {
     char name[] = "/tmp/carobrun-review-XXXXXX";
     dir = mkdtemp (name);
@@ -287,11 +289,11 @@
     std::lock_guard<std::mutex> guard (lock_);
     record_ << "[" << NowMs () - start_ms << " ms] " << line << std::endl;
   }
+  // FALSE: the case runs without its disruption.
   bool
   Trouble () const
   {
-    const char *text = getenv ("TROUBLE");
-    return text == nullptr || strcmp (text, "0") != 0;
+    return trouble_;
   }
   void
   Spawn (const std::string &name, std::vector<std::string> args)
@@ -680,6 +682,7 @@
       unlink (name.c_str ());
     rmdir (dir.c_str ());
   }
+  bool trouble_;
   std::set<std::string> files_;
   std::map<std::string, pid_t> pids_;
   std::map<std::string, std::vector<int64_t> > kills_;
