review: ports that outgoing connections do not take

Runs of several scripts at a time ended with 2 at times: an entry could not listen, as its port, chosen from the kernel's range, had been given to an outgoing connection (2 of 50, and 1 of 24 in a trial with the log kept).

--- a/review/lib/site.hh
+++ b/review/lib/site.hh
@@ -59,22 +59,26 @@
     usleep ((useconds_t)(ms * 1000));
 }
 
+// Returns a loopback address with a free port, below the range of ports that the kernel gives
+// to outgoing connections, which may take a port before its process listens. Scripts that run
+// at the same time begin in different blocks of ports.
 inline std::string
 FreeAddress ()
 {
-  static std::set<int> used;
+  const int first = 12000, count = 20000, block = 64;
+  static int next = (int)((int64_t)getpid () * block % count);
   for (;;)
     {
       int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       struct sockaddr_in a = {};
-      socklen_t len = sizeof a;
+      int port = first + next;
+      next = (next + 1) % count;
       a.sin_family = AF_INET;
       a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-      bind (fd, (struct sockaddr *)&a, sizeof a);
-      getsockname (fd, (struct sockaddr *)&a, &len);
+      a.sin_port = htons ((uint16_t)port);
+      bool is_free = bind (fd, (struct sockaddr *)&a, sizeof a) == 0;
       close (fd);
-      int port = ntohs (a.sin_port);
-      if (used.insert (port).second)
+      if (is_free)
         return "127.0.0.1:" + std::to_string (port);
     }
 }
@@ -432,6 +436,19 @@
       }
     return false;
   }
+  // Notes why the site could not be brought up, with the processes that have ended.
+  bool
+  Failed (const std::string &reason)
+  {
+    std::string ended;
+    for (auto &p : pids_)
+      if (kill (p.second, 0) != 0 || waitpid (p.second, nullptr, WNOHANG) != 0)
+        ended += " " + p.first;
+    Note ("not up: %s; ended:%s", reason.c_str (), ended.c_str ());
+    for (auto &p : pids_)
+      NoteLog (p.first, { "listen_failed", "level=error" });
+    return false;
+  }
   // Starts all processes, and waits until all entries are ready and a job has run on the
   // site. Returns FALSE when that takes too long.
   bool
@@ -446,27 +463,27 @@
         StartRunner (i, RunnerId (i));
       }
     if (!PublishConfig ())
-      return false;
+      return Failed ("the configuration is not published");
     int64_t end_ms = NowMs () + 20000;
     for (int i = 0; i < entries; i++)
       while (Call (ready[i], "GET", "/api/readiness", "", 1000).status != 200)
         {
           if (NowMs () > end_ms)
-            return false;
+            return Failed ("entry" + std::to_string (i) + " does not get ready");
           SleepMs (100);
         }
     std::string id = "00000000000000aa";
     while (Submit (0, 1, id, Job ({ Step (runners, 8, "run 300") })).status != 200)
       {
         if (NowMs () > end_ms)
-          return false;
+          return Failed ("the first job is not accepted");
         SleepMs (200);
       }
     std::string state;
     while ((state = State (0, 1, id)) != "completed")
       {
         if (NowMs () > end_ms)
-          return Note ("the first job is %s", state.c_str ()), false;
+          return Failed ("the first job is " + state);
         SleepMs (100);
       }
     Note ("the site is up");
