Take no list of a restarted worker for one of the earlier process

Cause: the agent ignored the field born of a worker's lists and took a process that restarted under its id for the earlier one until its first heartbeat. It acknowledged ends by the earlier process's numbers, which made the new process forget an end that nobody had read, and later reported the run as absent. The scheduler also acknowledged, without recording it, an end that the next incarnation of a worker reported for a run that had been ordered for the earlier one.

Change: lists carry the start time of their process; the agent drops the worker when it differs, until the next heartbeat. Ends are acknowledged only in the call that directly follows a reply of the same incarnation, any other call acknowledges nothing. The scheduler records ends that the successor reports, and takes such runs as lost only after the leases of both incarnations.

Why it works: only the agent of the same machine sends starts, and between the reply and the call that acknowledges it sends none; so no end of another incarnation can have a number that is acknowledged unread.

Evidence: the stand-in worker now has a clock of its own, says born in its lists and can delay its first heartbeat.

--- a/batch/report.c
+++ b/batch/report.c
@@ -121,6 +121,16 @@
          task->run == run->run;
 }
 
+/* TRUE when RUN is the current run of TASK and has been started on W, or on an earlier
+   incarnation of it whose start command W has executed. */
+static gboolean
+is_run_of_worker (const task_t *task, const worker_t *w, const Cb__TaskRun *run)
+{
+  return is_current_run (task, w, run) ||
+         (task != NULL && task->worker != NULL && task->worker->successor == w &&
+          is_current_run (task, task->worker, run));
+}
+
 /* Updates the tasks that W reports as running. Runs that are not current are to be
    stopped. */
 static void
@@ -166,7 +176,7 @@
       const Cb__EndedTask *ended = report->ended[i];
       task_t *task = find_task (b, ended->run);
 
-      if (is_current_run (task, w, ended->run))
+      if (is_run_of_worker (task, w, ended->run))
         {
           all_durable = FALSE;
           propose_end (b, task, ended->how, ended->saved);
@@ -194,8 +204,7 @@
 
       if (is_current_run (task, w, report->absent[i]) && task->stop_requested)
         propose_end (b, task, CB__RUN_END__RUN_STOPPED, task->reported_checkpoint);
-      else if (task != NULL && task->worker != NULL && task->worker->successor == w &&
-               is_current_run (task, task->worker, report->absent[i]))
+      else if (is_run_of_worker (task, w, report->absent[i]) && task->worker != w)
         propose_end (b, task, CB__RUN_END__RUN_LOST, task->reported_checkpoint);
     }
 }
--- a/batch/watch.c
+++ b/batch/watch.c
@@ -43,15 +43,26 @@
   return FALSE;
 }
 
+/* Returns when no run that was ordered for the terminated worker W can be executing any
+   more: after the lease of its successor, which may have received the start. */
+static cb_msec_t
+last_run_end_ms (const worker_t *w)
+{
+  if (w->successor == NULL)
+    return 0;
+  return w->successor->terminated ? w->lease_end_ms
+                                  : MAX (w->lease_end_ms, w->successor->lease_end_ms);
+}
+
 /* Proposes the ends of all runs on W as lost when W has terminated or its lease has
-   expired. With a successor they are lost only after the lease, unless the successor
-   reports them absent before. */
+   expired. With a successor they are lost only after the leases, unless the successor
+   reports how they ended, or that they are absent, before. */
 static void
 check_lease (cb_batch_t *b, worker_t *w, cb_msec_t now_ms)
 {
   if (w->lease_end_ms == 0)
     w->lease_end_ms = latest_lease_end (b, now_ms);
-  if (w->terminated && (w->successor == NULL || now_ms >= w->lease_end_ms))
+  if (w->terminated && now_ms >= last_run_end_ms (w))
     {
       propose_all_lost (b, w);
       return;
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -4,6 +4,8 @@
 
 #include "cmd/batch_agent.h"
 
+static void poll_worker (cb_batch_agent_t *agent, gboolean confirmed);
+
 /* One call for the worker's lists. */
 typedef struct
 {
@@ -156,6 +158,14 @@
   g_free (poll);
 }
 
+/* TRUE when LISTS come from another incarnation of the worker than POLL was meant
+   for. */
+static gboolean
+is_other_incarnation (const poll_t *poll, const Cb__WorkerReport *lists)
+{
+  return lists != NULL && lists->born_ms != 0 && lists->born_ms != poll->incarnation_ms;
+}
+
 static void
 on_lists (void *ctx, int err, const Cb__WorkerReport *lists)
 {
@@ -163,6 +173,7 @@
   cb_batch_agent_t *agent = poll->agent;
   gboolean current = strcmp (poll->worker, agent->report->worker) == 0 &&
                      poll->incarnation_ms == agent->report->born_ms;
+  gboolean confirmed = FALSE;
 
   if (err < 0)
     cb_batch_agent_count_call (agent, "lists", err, 0);
@@ -172,8 +183,14 @@
       return;
     }
   agent->poll_pending = FALSE;
-  if (err == CB_OK && current && poll->epoch == agent->epoch)
-    apply_lists (agent, poll, lists);
+  if (current && is_other_incarnation (poll, lists))
+    forget_worker (agent, "restarted");
+  else if (err == CB_OK && current)
+    {
+      confirmed = TRUE;
+      if (poll->epoch == agent->epoch)
+        apply_lists (agent, poll, lists);
+    }
   else if (err == CB_PLATFORM_FENCED)
     {
       agent->fenced_epoch = poll->epoch;
@@ -189,20 +206,17 @@
   agent->worker_unreachable = err < 0;
   agent->poll_retry_ms = err < 0 ? cb_batch_now_ms () + CB_AGENT_RETRY_MS : 0;
   free_poll (poll);
-  cb_batch_agent_poll_worker (agent);
+  poll_worker (agent, confirmed);
 }
 
-/* Calls the worker for its lists, which it returns when a task ends or a report is due,
-   unless such a call is under way, the pause after a
-   failed call is not over, or the worker has refused the current epoch. The call also
-   extends the worker's lease. A pending call under an earlier epoch is not waited for:
-   the new scheduler needs the lists before it can place tasks. */
-void
-cb_batch_agent_poll_worker (cb_batch_agent_t *agent)
+/* As cb_batch_agent_poll_worker. Acknowledges ends only if CONFIRMED, which means that
+   the incarnation that reported them has just responded: another one might be there by
+   now, and would discard ends of its own that nobody has read. */
+static void
+poll_worker (cb_batch_agent_t *agent, gboolean confirmed)
 {
   cb_worker_target_t target;
   poll_t *poll;
-
   gboolean superseded = agent->poll_pending && agent->poll_epoch != agent->epoch;
 
   if ((agent->poll_pending && !superseded) || !cb_batch_agent_has_worker (agent) ||
@@ -218,12 +232,23 @@
   agent->poll_pending = TRUE;
   agent->poll_epoch = agent->epoch;
   target = cb_batch_agent_worker_target (agent);
-  cb_worker_long_poll (agent->loop, &target, agent->last_durable_end,
+  cb_worker_long_poll (agent->loop, &target, confirmed ? agent->last_durable_end : 0,
                        agent->lists_epoch == agent->epoch ? agent->report_interval_ms
                                                           : 0,
                        on_lists, poll);
 }
 
+/* Calls the worker for its lists, which it returns when a task ends or a report is due,
+   unless such a call is under way, the pause after a
+   failed call is not over, or the worker has refused the current epoch. The call also
+   extends the worker's lease. A pending call under an earlier epoch is not waited for:
+   the new scheduler needs the lists before it can place tasks. */
+void
+cb_batch_agent_poll_worker (cb_batch_agent_t *agent)
+{
+  poll_worker (agent, FALSE);
+}
+
 /* Replaces the worker's description by NEXT, which was read from a heartbeat, and takes
    ownership of it. The lists are kept when the heartbeat is from the same incarnation
    of the same worker. */
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -61,10 +61,11 @@
   const char *service;
   const char *rack;
   int accelerators;
-  gboolean tickets;        /* starts need a ticket of the advisor */
-  cb_msec_t start_wall_ms; /* start of this process, in ms of the wall clock */
-  uint64_t fencing_token;  /* highest in the calls so far */
-  uint64_t sequence;       /* of the last heartbeat */
+  gboolean tickets;             /* starts need a ticket of the advisor */
+  cb_msec_t first_heartbeat_ms; /* from the start of this process to its first one */
+  cb_msec_t start_wall_ms;      /* start of this process, in ms of the wall clock */
+  uint64_t fencing_token;       /* highest in the calls so far */
+  uint64_t sequence;            /* of the last heartbeat */
   cb_msec_t lease_end_ms;
   cb_msec_t lapsed_ms;   /* last time at which the lease had expired */
   GQueue runs;           /* of run_t */
@@ -75,10 +76,15 @@
   cb_msec_t draining_ms; /* time of SIGTERM; 0: not draining */
 } runner_t;
 
+/* Returns the worker's clock, in ms. It starts with the process, at 1. */
 static cb_msec_t
 now (void)
 {
-  return cb_clock_now (cb_clock_system ());
+  static cb_msec_t start_ms;
+
+  if (start_ms == 0)
+    start_ms = cb_clock_now (cb_clock_system ()) - 1;
+  return cb_clock_now (cb_clock_system ()) - start_ms;
 }
 
 static json_int_t
@@ -151,8 +157,9 @@
       json_array_append_new (ended, json_pack ("[I,s,i,s,s]", (json_int_t)end->number,
                                                end->task, end->run, end->how, ""));
     }
-  return json_pack ("{s:I,s:o,s:o}", "clockMs", (json_int_t)now (), "running", running,
-                    "finished", ended);
+  return json_pack ("{s:I,s:I,s:o,s:o}", "clockMs", (json_int_t)now (), "born",
+                    (json_int_t)r->start_wall_ms, "running", running, "finished",
+                    ended);
 }
 
 static void
@@ -444,6 +451,9 @@
     case 'k':
       a->runner->tickets = TRUE;
       return 0;
+    case 'f':
+      a->runner->first_heartbeat_ms = g_ascii_strtoll (arg, NULL, 10);
+      return 0;
     case ARGP_KEY_END:
       if (a->runner->agent == NULL || a->runner->id == NULL)
         argp_error (state, "--agent or --id is missing");
@@ -461,6 +471,7 @@
     { "id", 'i', "NAME", 0, "name of the worker", 0 },
     { "rack", 'r', "NAME", 0, "rack of the worker (r1)", 0 },
     { "tickets", 'k', NULL, 0, "refuse starts without a ticket of the advisor", 0 },
+    { "first-heartbeat", 'f', "MS", 0, "delay of the first heartbeat (0)", 0 },
     { 0 },
   };
   static const struct argp_child children[] = { { &cb_fake_argp, 0, NULL, 0 }, { 0 } };
@@ -486,7 +497,7 @@
   g_queue_init (&r.ends);
   g_queue_init (&r.long_polls);
   cb_timer_new (r.fake.loop, TICK_MS, TICK_MS, on_tick, &r);
-  cb_timer_new (r.fake.loop, 0, HEARTBEAT_MS, on_heartbeat, &r);
+  cb_timer_new (r.fake.loop, r.first_heartbeat_ms, HEARTBEAT_MS, on_heartbeat, &r);
   cb_fake_run (&r.fake);
   return 0;
 }
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -290,16 +290,18 @@
   {
     cb_batch_handle_report (active, w.agent.c_str (), last_report[w.id].get (), now);
   }
-  // Makes W execute a start command that was sent to an earlier incarnation of it.
+  // Makes W execute a start command that was sent to an earlier incarnation of it. The
+  // run takes LENGTH_MS.
   void
-  StartForEarlierIncarnation (Worker &w, const std::string &task, uint32_t number)
+  StartForEarlierIncarnation (Worker &w, const std::string &task, uint32_t number,
+                              cb_msec_t length_ms = 5000)
   {
     Run run;
 
     run.task = task;
     run.run = number;
     run.start_ms = now;
-    run.end_ms = now + 5000;
+    run.end_ms = now + length_ms;
     w.lease_ms = static_cast<uint64_t> (now + params.hold_max_ms);
     w.running[task] = run;
   }
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -116,6 +116,24 @@
   EXPECT_EQ (sim.Status ("j"), CB_JOB_COMPLETED);
 }
 
+// Guards against a second run of a task that the next incarnation of a worker has
+// completed, on a start command that was sent to an earlier one (review/4).
+TEST (Batch, EndOfAStartForAnEarlierIncarnationCounts)
+{
+  BatchSimulation sim (2, 2);
+
+  sim.SubmitAndRun ("j", 0, { { 1, 8 } }, 2000, 20);
+  Worker *first = sim.FirstBusyWorker ();
+  ASSERT_NE (first, nullptr);
+  first->reachable = false;
+  first->Restart ();
+  sim.StartForEarlierIncarnation (*first, "j.0.0.0", 1, 50);
+  sim.Advance (200);
+  first->reachable = true;
+  sim.Advance (3000);
+  EXPECT_EQ (sim.Status ("j"), CB_JOB_COMPLETED);
+}
+
 TEST (Batch, TakeoverKeepsRunningWorkAndIgnoresTheEarlierScheduler)
 {
   BatchSimulation sim (3, 3);
--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -90,16 +90,24 @@
 
     Start (name, "carobrun", { "batch-agent", "--settings", Settings (name) });
   }
+  // Starts worker I, which sends its first heartbeat after FIRST_HEARTBEAT_MS.
   void
-  StartRunner (int i)
+  StartRunner (int i, int first_heartbeat_ms = 0)
   {
     std::string name = "runner" + std::to_string (i);
 
-    std::vector<std::string> arguments = { "--listen", runners[i],
-                                           "--agent",  controls[i],
-                                           "--id",     "w" + std::to_string (i),
-                                           "--rack",   "r" + std::to_string (i / 3),
-                                           "--trace",  dir_ + "/" + name + ".trace" };
+    std::vector<std::string> arguments = { "--listen",
+                                           runners[i],
+                                           "--agent",
+                                           controls[i],
+                                           "--id",
+                                           "w" + std::to_string (i),
+                                           "--rack",
+                                           "r" + std::to_string (i / 3),
+                                           "--first-heartbeat",
+                                           std::to_string (first_heartbeat_ms),
+                                           "--trace",
+                                           dir_ + "/" + name + ".trace" };
     if (!allowed_worker_.empty ())
       arguments.push_back ("--tickets");
     Start (name, "carobrun-fake-runner", arguments);
@@ -294,6 +302,24 @@
   // Returns how many runs of the job's tasks ended as HOW, a value of the traces.
   int
   Ends (int id, const std::string &how)
+  {
+    return CountEvents (id, "run_end", how);
+  }
+  // Returns how many ends of these runs the workers' agents have acknowledged.
+  int
+  AcknowledgedEnds (int id, const std::string &how)
+  {
+    return CountEvents (id, "end_seen", how);
+  }
+
+private:
+  int keep_s_;
+  std::string allowed_worker_; // empty: no advisor
+
+  // Returns how many events of the workers' traces have the name EVENT and the end HOW
+  // and are about a task of job ID.
+  int
+  CountEvents (int id, const std::string &event, const std::string &how)
   {
     int count = 0;
 
@@ -303,17 +329,12 @@
         std::string line;
 
         while (std::getline (f, line))
-          count += line.find ("\"ev\":\"run_end\"") != std::string::npos &&
+          count += line.find ("\"ev\":\"" + event + "\"") != std::string::npos &&
                    line.find (Id (id)) != std::string::npos &&
                    line.find ("\"how\":\"" + how + "\"") != std::string::npos;
       }
     return count;
   }
-
-private:
-  int keep_s_;
-  std::string allowed_worker_; // empty: no advisor
-
   std::string
   Settings (const std::string &name) const
   {
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -467,6 +467,26 @@
   EXPECT_EQ (site.Ends (1, "done"), 1);
 }
 
+// Guards against a second run of a task that a restarted worker completed before its
+// first heartbeat: the agent took the new process for the earlier one, whose ends had
+// higher numbers, and acknowledged the end without having read it (review/4).
+TEST (PlatformSite, TaskDoneBeforeTheFirstHeartbeatOfARestartedWorkerIsDone)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (8, 1, "run 800")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.AcknowledgedEnds (1, "done") == 8; }));
+  site.Kill ("runner0");
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 8, "run 100")).status, 200);
+  ASSERT_TRUE (
+      site.Until ([&] { return site.Logged ("agent0", "event=start_failed"); }));
+  site.StartRunner (0, 1500);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (2, "done"), 1);
+  site.CheckRuns ();
+}
+
 // Guards against an agent that ends, or stops following its worker, after odd
 // heartbeats of another writer for the same worker.
 TEST (PlatformSite, OddHeartbeatsDoNotDisturbAnAgent)
