Divide the scheduler's records by size, so that the log takes each

Cause: all starts of a placement pass made one record. One that is larger than a record of the log was refused, its starts withdrawn, and the same record proposed by the next pass. As a queued record counted as a sign of life, the scheduler sent no heartbeats and lost its role every 2.4 s. Ends of runs that are lost at a time had the same fault.

Change: records are divided by encoded size, with the limit of the log's writer; the starts of a gang remain one record. Jobs whose record, or whose gang's record, could not fit are refused with 400 too_large. A refused record has a log line and a counter, and its tasks wait 60 s. A pass starts at most 1,000 tasks, and the next goes on by rank. A heartbeat is left out only when the log has taken a record. Checkpoints of more than 64 KB are not kept.

Evidence: in virtual time with a limit of 4,000 bytes, ManyTasksThatWaitForASchedulerAllStart and ManyRunsLostWithTheirWorkerStartAgain fail without the division (a refused record, 0 of 600 tasks done) and pass with it, whatever the timing. RefusesJobWhoseRecordsAreTooLarge covers admission.

--- a/batch/admit.c
+++ b/batch/admit.c
@@ -11,6 +11,8 @@
    capacity that ends and cancellations free. */
 #define RETRY_MIN_MS 1000
 #define RETRY_MAX_MS 10000
+/* Bound of the encoded fields of a job's record beside the job. */
+#define JOB_OVERHEAD_BYTES 32
 
 /* Checks the structure of JOB. Returns 0 or CB_BATCH_INVALID. */
 int
@@ -34,6 +36,19 @@
   return CB_OK;
 }
 
+/* Checks that the records of JOB fit into the log. Returns 0 or CB_BATCH_TOO_LARGE. */
+static int
+check_records (const cb_batch_t *b, const Cb__BatchJob *job)
+{
+  if (protobuf_c_message_get_packed_size (&job->base) + JOB_OVERHEAD_BYTES >
+      b->params.record_bytes_max)
+    return CB_BATCH_TOO_LARGE;
+  for (size_t i = 0; i < job->n_steps; i++)
+    if (job->steps[i]->gang && job->steps[i]->count > CB_BATCH_GANG_MAX)
+      return CB_BATCH_TOO_LARGE;
+  return CB_OK;
+}
+
 /* Checks that each task fits the largest worker. Returns 0 or CB_BATCH_NEVER_FITS. The
    number of workers does not count, as it changes. */
 static int
@@ -92,13 +107,14 @@
 }
 
 /* Decides on the admission of a new job: returns 0, CB_BATCH_INVALID,
-   CB_BATCH_NEVER_FITS or CB_BATCH_OVERLOADED. With CB_BATCH_OVERLOADED RETRY_AFTER_MS
-   is the time after which a retry may be admitted; otherwise it is 0. A job is refused
-   when the work that precedes it would delay its end until the result is of no use.
-   This guards against a lasting overload: a short burst fits into the slack of work
-   that is not urgent, and urgent work is never refused for load, as it is placed
-   first. Nor are jobs with a schedule or a daemon step. While fewer than
-   FLEET_WORKERS_MIN workers are known, only the structure of the job is checked. */
+   CB_BATCH_TOO_LARGE, CB_BATCH_NEVER_FITS or CB_BATCH_OVERLOADED. With
+   CB_BATCH_OVERLOADED RETRY_AFTER_MS is the time after which a retry may be admitted;
+   otherwise it is 0. A job is refused when the work that precedes it would delay its
+   end until the result is of no use. This guards against a lasting overload: a short
+   burst fits into the slack of work that is not urgent, and urgent work is never
+   refused for load, as it is placed first. Nor are jobs with a schedule or a daemon
+   step. While fewer than FLEET_WORKERS_MIN workers are known, only the structure of the
+   job is checked. */
 int
 cb_batch_admit (const cb_batch_t *b, const Cb__BatchJob *job, cb_msec_t *retry_after_ms)
 {
@@ -108,6 +124,8 @@
   double wait_ms;
   int err = check_steps (job);
 
+  if (err == CB_OK)
+    err = check_records (b, job);
   *retry_after_ms = 0;
   if (err < 0 || fleet == NULL || fleet->workers < FLEET_WORKERS_MIN)
     return err;
--- a/batch/dat.h
+++ b/batch/dat.h
@@ -22,11 +22,16 @@
   CB_BATCH_OVERLOADED = -901, /* would end too late to be of use */
   CB_BATCH_INVALID = -902,    /* no steps or tasks, too many tasks, or an `after` that
                                  names no earlier step */
+  CB_BATCH_TOO_LARGE = -903,  /* its record, or that of a gang's start, does not fit
+                                 into the log */
 };
 
 /* Maximum number of tasks of a job, over all steps and occurrences. */
 #define CB_BATCH_TASKS_MAX 20000
 
+/* Maximum number of tasks of a gang, whose starts are one record of the log. */
+#define CB_BATCH_GANG_MAX 1000
+
 typedef struct cb_batch cb_batch_t;
 
 /* Status of a job as callers see it. */
@@ -86,8 +91,9 @@
   cb_msec_t stop_ms;     /* maximum time from the stop command to the end of a run */
   cb_msec_t reclaim_ms;  /* bound on the start of guaranteed work after acceptance */
   cb_msec_t job_retention_ms; /* how long the state of an ended job is kept */
-  double remote_slowdown;  /* factor for work spread over racks or away from its data */
-  cb_counters_t *counters; /* receives the scheduler's histograms; NULL: none */
+  double remote_slowdown; /* factor for work spread over racks or away from its data */
+  uint32_t record_bytes_max; /* largest encoded record of the log */
+  cb_counters_t *counters;   /* receives the scheduler's histograms; NULL: none */
 } cb_batch_params_t;
 
 /* A worker for which an advice request asks whether it may run the step. */
--- a/batch/fns.h
+++ b/batch/fns.h
@@ -83,7 +83,8 @@
 void cb_batch_tick (cb_batch_t *batch, cb_msec_t now_ms, cb_msec_t wall_ms);
 void cb_batch_fill_heartbeat (const cb_batch_t *batch, Cb__BatchBeat *heartbeat);
 Cb__BatchRecord *cb_batch_pop_record (cb_batch_t *batch);
-void cb_batch_append_failed (cb_batch_t *batch, const Cb__BatchRecord *record);
+void cb_batch_append_failed (cb_batch_t *batch, const Cb__BatchRecord *record,
+                             gboolean too_large, cb_msec_t now_ms);
 gboolean cb_batch_commands_changed (cb_batch_t *batch, const char *agent);
 void cb_batch_foreach_changed (cb_batch_t *batch,
                                void (*fn) (void *ctx, const char *agent), void *ctx);
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -15,6 +15,16 @@
 #define FLEET_PAUSE_MS 100
 #define FLEET_WAIT_MAX_MS 1500
 
+/* Bounds of the encoded fields of a record, and of one element, beside the contents of
+   the elements: tags, lengths and the epoch. */
+#define RECORD_OVERHEAD_BYTES 32
+#define ELEMENT_OVERHEAD_BYTES 6
+/* A larger checkpoint is not kept: the task starts anew. */
+#define CHECKPOINT_MAX_BYTES 65536
+/* A start whose record the log has refused as too large is not proposed again
+   before. */
+#define REFUSED_RETRY_MS 60000
+
 static void
 reset_task (task_t *task)
 {
@@ -90,15 +100,27 @@
     }
 }
 
-/* Returns the last queued record when it is of kind BODY_CASE, so that it can be
-   extended, or else a new one that it queues. */
+/* Returns the size in bytes of MESSAGE as an element of a record. */
+static size_t
+element_bytes (const ProtobufCMessage *message)
+{
+  return protobuf_c_message_get_packed_size (message) + ELEMENT_OVERHEAD_BYTES;
+}
+
+/* Returns the last queued record when it is of kind BODY_CASE and BYTES more fit into
+   it, or else a new one that it queues. The caller adds elements of BYTES in all. */
 static Cb__BatchRecord *
-get_open_record (cb_batch_t *b, Cb__BatchRecord__BodyCase body_case)
+get_open_record (cb_batch_t *b, Cb__BatchRecord__BodyCase body_case, size_t bytes)
 {
   Cb__BatchRecord *record = g_queue_peek_tail (&b->records);
 
-  if (record != NULL && record->body_case == body_case)
-    return record;
+  if (record != NULL && record->body_case == body_case &&
+      b->open_record_bytes + bytes <= b->params.record_bytes_max)
+    {
+      b->open_record_bytes += bytes;
+      return record;
+    }
+  b->open_record_bytes = RECORD_OVERHEAD_BYTES + bytes;
   record = cb_msg_new (&cb__batch_record__descriptor);
   record->epoch = b->own_epoch;
   record->body_case = body_case;
@@ -122,12 +144,17 @@
   if (task->proposed_end || b->own_epoch == 0)
     return;
   task->proposed_end = TRUE;
-  record = get_open_record (b, CB__BATCH_RECORD__BODY_ENDS);
   end = cb_msg_new (&cb__task_end__descriptor);
   end->run = task_run_new (task, task->run);
   end->how = how;
-  if (checkpoint != NULL && checkpoint[0] != '\0')
+  if (checkpoint != NULL && strlen (checkpoint) <= CHECKPOINT_MAX_BYTES)
     cb_msg_set_string (&end->saved, checkpoint);
+  else if (checkpoint != NULL)
+    cb_event (CB_LOG_WARN, "batch", "checkpoint_dropped",
+              "job=%s task=%u.%u.%u run=%u bytes=%zu", task->job->spec->id,
+              task->occurrence, task->step, task->index, task->run,
+              strlen (checkpoint));
+  record = get_open_record (b, CB__BATCH_RECORD__BODY_ENDS, element_bytes (&end->base));
   cb_msg_append ((void ***)&record->ends->ends, &record->ends->n_ends, end);
   /* Logged when the end is proposed, before the record is in the log; percent: the
      progress that the worker reported last. */
@@ -138,19 +165,24 @@
             task->percent);
 }
 
-/* Queues a record that run RUN of TASK starts on W, and counts the task as using W from
-   now on. */
-static void
-propose_start (cb_batch_t *b, task_t *task, uint32_t run, worker_t *w, cb_msec_t now_ms)
+/* Returns a new message that run RUN of TASK starts on W; freed with cb_msg_free. */
+static Cb__TaskStart *
+task_start_new (const task_t *task, uint32_t run, const worker_t *w)
 {
-  Cb__BatchRecord *record = get_open_record (b, CB__BATCH_RECORD__BODY_STARTS);
   Cb__TaskStart *start = cb_msg_new (&cb__task_start__descriptor);
 
   start->run = task_run_new (task, run);
   cb_msg_set_string (&start->worker, w->id);
   cb_msg_set_string (&start->agent, w->agent);
   start->born_ms = w->incarnation_ms;
-  cb_msg_append ((void ***)&record->starts->starts, &record->starts->n_starts, start);
+  return start;
+}
+
+/* Notes that the start of run RUN of TASK on W has been proposed, and counts the task
+   as using W from now on. */
+static void
+note_proposed_start (task_t *task, uint32_t run, worker_t *w, cb_msec_t now_ms)
+{
   task->proposed_start = TRUE;
   attach_task (w, task);
   /* Logged when the start is proposed, before the record is in the log. */
@@ -166,14 +198,26 @@
 start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count,
              cb_msec_t now_ms)
 {
-  uint32_t run = 0;
+  Cb__TaskStart **starts = g_new (Cb__TaskStart *, count);
+  Cb__BatchRecord *record;
+  uint32_t gang_run = 0;
+  size_t bytes = 0;
 
   for (uint32_t i = 0; i < count; i++)
-    run = MAX (run, tasks[i]->run);
+    gang_run = MAX (gang_run, tasks[i]->run + 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t run = task_spec (tasks[i])->gang ? gang_run : tasks[i]->run + 1;
+
+      starts[i] = task_start_new (tasks[i], run, workers[i]);
+      bytes += element_bytes (&starts[i]->base);
+      note_proposed_start (tasks[i], run, workers[i], now_ms);
+    }
+  record = get_open_record (b, CB__BATCH_RECORD__BODY_STARTS, bytes);
   for (uint32_t i = 0; i < count; i++)
-    propose_start (b, tasks[i],
-                   task_spec (tasks[i])->gang ? run + 1 : tasks[i]->run + 1, workers[i],
-                   now_ms);
+    cb_msg_append ((void ***)&record->starts->starts, &record->starts->n_starts,
+                   starts[i]);
+  g_free (starts);
 }
 
 static void
@@ -295,9 +339,12 @@
 }
 
 /* To be called when RECORD was definitely not appended: withdraws the starts or ends
-   that it proposed, so that they are decided again. */
+   that it proposed, so that they are decided again. With TOO_LARGE, the log would
+   refuse the same record each time: its tasks are not placed again for
+   REFUSED_RETRY_MS. */
 void
-cb_batch_append_failed (cb_batch_t *b, const Cb__BatchRecord *record)
+cb_batch_append_failed (cb_batch_t *b, const Cb__BatchRecord *record,
+                        gboolean too_large, cb_msec_t now_ms)
 {
   if (record->epoch == 0 || record->epoch != b->own_epoch)
     return;
@@ -311,6 +358,8 @@
           continue;
         task->proposed_start = FALSE;
         detach_task (task);
+        if (too_large)
+          task->not_before_ms = now_ms + REFUSED_RETRY_MS;
       }
   else if (record->body_case == CB__BATCH_RECORD__BODY_ENDS)
     for (size_t i = 0; i < record->ends->n_ends; i++)
--- a/batch/local.h
+++ b/batch/local.h
@@ -187,6 +187,7 @@
   /* How many more workers the plans of this pass may look at, to find work to preempt
      and capacity to reserve. */
   int64_t preemption_budget;
+  uint32_t starts_left; /* how many more tasks this pass may start */
   int64_t reservation_budget;
 } pass_t;
 
@@ -229,6 +230,7 @@
   uint32_t expected_workers;    /* workers in the previous scheduler's heartbeat */
   cb_msec_t worker_reported_ms; /* when a worker last reported for the first time */
   GQueue records;               /* of Cb__BatchRecord, to be appended to the log */
+  size_t open_record_bytes;     /* encoded size of the last of them, an upper bound */
   double urgent_peak;  /* accelerators in use or wanted by urgent work, decayed */
   cb_msec_t urgent_ms; /* when it was updated */
   uint64_t plan_count; /* preemption plans computed so far, also discarded ones */
--- a/batch/place.c
+++ b/batch/place.c
@@ -28,6 +28,10 @@
 #define PLANNED_WORKERS_MAX 6000
 #define PLANS_MIN 8
 
+/* A pass starts at most this many tasks, or one gang more. The next one goes on, in the
+   order of the demands that there are then. */
+#define PASS_STARTS_MAX 1000
+
 /* A step that is ready and has waiting tasks. */
 typedef struct
 {
@@ -218,7 +222,7 @@
 
 /* Starts COUNT tasks on the workers of CHOSEN, and drops any plans for the tasks. */
 static void
-start_chosen (const pass_t *pass, task_t **tasks, capacity_t **chosen, uint32_t count)
+start_chosen (pass_t *pass, task_t **tasks, capacity_t **chosen, uint32_t count)
 {
   worker_t **workers = g_new (worker_t *, count);
 
@@ -229,12 +233,13 @@
       capacity_forget_order (chosen[i]);
     }
   start_tasks (pass->b, tasks, workers, count, pass->now_ms);
+  pass->starts_left -= MIN (pass->starts_left, count);
   g_free (workers);
 }
 
 /* Deducts the capacity of a plan, and starts the tasks there when all of it is free. */
 static void
-take_planned (const pass_t *pass, task_t **tasks, capacity_t **planned, uint32_t count)
+take_planned (pass_t *pass, task_t **tasks, capacity_t **planned, uint32_t count)
 {
   gboolean free_now = TRUE;
 
@@ -283,7 +288,7 @@
 
 /* Deducts the capacity of the plan that was just made for COUNT tasks. */
 static void
-take_new_plan (const pass_t *pass, task_t **tasks, uint32_t count)
+take_new_plan (pass_t *pass, task_t **tasks, uint32_t count)
 {
   capacity_t **planned = g_new0 (capacity_t *, count);
 
@@ -369,7 +374,7 @@
     trust_update_failed_on (pass->capacities, tasks[i], pass->now_ms);
   if (spec->gang && count > 0 && count == step->count)
     place_together (pass, demand, tasks, count, may_preempt (demand, pass->now_ms));
-  for (uint32_t i = 0; i < count && !spec->gang; i++)
+  for (uint32_t i = 0; i < count && !spec->gang && pass->starts_left > 0; i++)
     {
       /* A step whose tasks run in several rounds (step->waves) preempts other work only
          while fewer of them run than one round holds; guaranteed work always may. */
@@ -400,10 +405,13 @@
   pass->preemption_budget = pass->reservation_budget =
       MAX (PLANNED_WORKERS_MAX, PLANS_MIN * (int64_t)pass->capacities->len);
   cb_batch_advice_request_free (cb_batch_pop_advice_request (b));
+  pass->starts_left = PASS_STARTS_MAX;
   reserve_for_urgent (pass->capacities);
   reserve_plans (pass, demands);
-  for (guint i = 0; pass->capacities->len > 0 && i < demands->len; i++)
+  for (guint i = 0;
+       pass->capacities->len > 0 && pass->starts_left > 0 && i < demands->len; i++)
     place_step (pass, &g_array_index (demands, demand_t, i));
+  b->dirty = b->dirty || pass->starts_left == 0;
   g_array_unref (demands);
   pass_free (pass);
 }
--- a/bench/batch.c
+++ b/bench/batch.c
@@ -70,7 +70,7 @@
 static void
 open_site (site_t *site, uint32_t workers)
 {
-  const cb_batch_params_t params = { 6000, 400, 2900, 120000, 3, NULL };
+  const cb_batch_params_t params = { 6000, 400, 2900, 120000, 3, 260000, NULL };
   Cb__BatchRecord *claim = record_new (CB__BATCH_RECORD__BODY_CLAIM);
 
   *site =
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -91,7 +91,8 @@
   uint64_t claim_replaced_plus_1; /* epoch that the last own claim replaces, plus 1; 0:
                                      no claim yet */
   cb_msec_t claimed_ms;           /* when that claim was appended */
-  cb_msec_t scheduler_append_ms;  /* when a record of the scheduler was last appended */
+  cb_msec_t scheduler_append_ms;  /* when the log last took a record of this scheduler,
+                                     or  a heartbeat was last sent */
   GHashTable *agent_links;        /* agent -> cb_batch_agent_link_t */
   cb_timer_t *pass_timer;         /* set while a pass of the scheduler is deferred */
   cb_msec_t pass_not_before_ms;   /* earliest next pass */
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -16,6 +16,10 @@
    accepting requests. */
 #define IDLE_EXIT_MS 400
 
+/* Bound of the encoded fields of a record beside the batch record that it holds:
+   producer, sequence and time. */
+#define RECORD_ENVELOPE_BYTES 1024
+
 /* Does the work that is due: as the scheduler, makes decisions and sends commands;
    otherwise claims the role when it is free. Appends all queued records. */
 void
@@ -85,6 +89,7 @@
     .reclaim_ms = (cb_msec_t)entry->settings->reclaim_ms,
     .job_retention_ms = (cb_msec_t)entry->settings->status_s * 1000,
     .remote_slowdown = entry->settings->remote_slowdown,
+    .record_bytes_max = CB_WRITER_RECORD_BYTES_MAX - RECORD_ENVELOPE_BYTES,
     .counters = entry->counters,
   };
 
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -186,6 +186,8 @@
 {
   if (err == CB_BATCH_NEVER_FITS)
     return "never_fits";
+  if (err == CB_BATCH_TOO_LARGE)
+    return "too_large";
   return err == CB_BATCH_OVERLOADED ? "overloaded" : "invalid_job";
 }
 
@@ -230,7 +232,9 @@
   if (err < 0)
     {
       cb_msg_free (job);
-      refuse_submission (entry, req, id, err == CB_BATCH_INVALID ? 400 : 429,
+      refuse_submission (entry, req, id,
+                         err == CB_BATCH_INVALID || err == CB_BATCH_TOO_LARGE ? 400
+                                                                              : 429,
                          refusal_reason (err), retry_after_ms);
       return;
     }
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -54,8 +54,18 @@
                     const Cb__BatchRecord *record)
 {
   (void)ctx;
+  if (err == CB_OK)
+    entry->scheduler_append_ms = cb_batch_now_ms ();
+  if (err == CB_LOGC_REFUSED)
+    {
+      cb_counters_add (entry->counters, "records_too_large_total", NULL, 1);
+      cb_event_unlimited (CB_LOG_ERROR, "entry", "record_too_large",
+                          "kind=%d bytes=%zu", (int)record->body_case,
+                          protobuf_c_message_get_packed_size (&record->base));
+    }
   if (err == CB_LOGC_GIVEN_UP || err == CB_LOGC_REFUSED)
-    cb_batch_append_failed (entry->batch, record);
+    cb_batch_append_failed (entry->batch, record, err == CB_LOGC_REFUSED,
+                            cb_batch_now_ms ());
 }
 
 static void
@@ -353,10 +363,7 @@
     cb_batch_tick (entry->batch, now_ms, cb_clock_wall (entry->clock));
   cb_batch_advice_tick (entry, now_ms);
   while ((record = cb_batch_pop_record (entry->batch)) != NULL)
-    {
-      entry->scheduler_append_ms = now_ms;
-      cb_batch_append (entry, record, on_record_appended, NULL);
-    }
+    cb_batch_append (entry, record, on_record_appended, NULL);
   cb_batch_foreach_agent (entry->batch, check_agent, entry);
   took_ms = cb_batch_now_ms () - now_ms;
   cb_counters_observe (entry->counters, "scheduler_pass_duration_ms", NULL, took_ms);
--- a/logc/dat.h
+++ b/logc/dat.h
@@ -13,6 +13,12 @@
   CB_LOGC_GIVEN_UP = -403, /* dropped by the writer: not stored within its time limit */
 };
 
+/* Maximum size of a record of the log service. */
+#define CB_LOGC_RECORD_BYTES_MAX 262144
+/* Largest encoded record that a writer accepts: a record of the log service holds a
+   batch, which has fields of its own. */
+#define CB_WRITER_RECORD_BYTES_MAX (CB_LOGC_RECORD_BYTES_MAX - 1024)
+
 typedef struct cb_logc cb_logc_t;
 
 /* OFFSET is valid when ERR is 0. */
--- a/logc/writer.c
+++ b/logc/writer.c
@@ -5,8 +5,6 @@
 
 #define BACKOFF_FIRST_MS 20
 #define BACKOFF_MAX_MS 1000
-/* Maximum size of a record of the log service, less a margin for the batch's fields. */
-#define MAX_BATCH_BYTES (262144 - 1024)
 /* Protobuf tag and length of one record in a batch. */
 #define RECORD_OVERHEAD_BYTES 8
 
@@ -208,7 +206,7 @@
   item_t *item;
 
   while ((item = g_queue_peek_head (&writer->waiting)) != NULL &&
-         bytes + item->bytes <= MAX_BATCH_BYTES)
+         bytes + item->bytes <= CB_WRITER_RECORD_BYTES_MAX)
     {
       bytes += item->bytes;
       g_ptr_array_add (records, item->record);
@@ -250,7 +248,7 @@
     }
   while ((item = g_queue_peek_head (&writer->waiting)) != NULL)
     {
-      gboolean too_large = item->bytes > MAX_BATCH_BYTES;
+      gboolean too_large = item->bytes > CB_WRITER_RECORD_BYTES_MAX;
 
       if (!too_large && writer->now_ms - item->added_ms < unsent_limit_ms)
         return;
--- a/test/batch_admit_test.cc
+++ b/test/batch_admit_test.cc
@@ -69,6 +69,23 @@
   EXPECT_EQ (Admit (sim, NewJob (1, 0, 1), &retry), CB_BATCH_INVALID);
 }
 
+// Guards against an accepted job that can never start, as the log has no room for the
+// record of the job or of the starts of its gang.
+TEST (BatchAdmit, RefusesJobWhoseRecordsAreTooLarge)
+{
+  BatchSimulation sim (4, 2);
+  cb_msec_t retry;
+  Cb__BatchJob *gang = NewJob (0, CB_BATCH_GANG_MAX + 1, 0);
+  Cb__BatchJob *large = NewJob (0, 1, 0);
+  std::string spec (sim.params.record_bytes_max, 'x');
+
+  gang->steps[0]->gang = TRUE;
+  EXPECT_EQ (Admit (sim, gang, &retry), CB_BATCH_TOO_LARGE);
+  cb_msg_set_string (&large->spec, spec.c_str ());
+  EXPECT_EQ (Admit (sim, large, &retry), CB_BATCH_TOO_LARGE);
+  EXPECT_EQ (Admit (sim, NewJob (0, CB_BATCH_GANG_MAX + 1, 0), &retry), CB_OK);
+}
+
 TEST (BatchAdmit, OverloadRefusesJobThatWouldEndTooLate)
 {
   BatchSimulation sim (4, 2);
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -64,9 +64,9 @@
 class BatchSimulation
 {
 public:
-  cb_batch_params_t params = { 6000, 400, 2900, 120000, 3, nullptr };
-  cb_batch_t *primary = cb_batch_new (&params);
-  cb_batch_t *standby = cb_batch_new (&params);
+  cb_batch_params_t params;
+  cb_batch_t *primary;
+  cb_batch_t *standby;
   cb_batch_config_t *config = cb_batch_config_new ();
   std::vector<std::unique_ptr<Worker> > workers;
   std::map<std::string, cb_msec_t> run_time_ms; // of a job's tasks, default 1000
@@ -85,12 +85,18 @@
   bool log_unavailable = false; // the scheduler's records are not appended
   Advisor advisor;
   int refused_tickets = 0;
+  int refused_records = 0; // larger than a record of the log can be
   int failed_runs = 0;
   std::set<std::string> stopped; // tasks with a run that was stopped
   std::vector<std::vector<uint8_t> > log;
 
+  // The log takes records of up to RECORD_BYTES_MAX; by default about as many as the
+  // log service.
   BatchSimulation (int count, int per_rack,
-                   std::map<std::string, uint32_t> accounts = {})
+                   std::map<std::string, uint32_t> accounts = {},
+                   uint32_t record_bytes_max = 260000)
+      : params{ 6000, 400, 2900, 120000, 3, record_bytes_max, nullptr },
+        primary (cb_batch_new (&params)), standby (cb_batch_new (&params))
   {
     for (const auto &a : accounts)
       cb_batch_config_add_account (config, a.first.c_str ())->guaranteed = a.second;
@@ -181,6 +187,12 @@
     for (const StepSpec &s : steps)
       cb_msg_append (reinterpret_cast<void ***> (&job->steps), &job->n_steps,
                      s.NewStep ());
+    for (size_t i = 0; i < job->n_steps; i++)
+      {
+        steps_[id].push_back (*job->steps[i]);
+        steps_[id].back ().after = nullptr;
+        steps_[id].back ().n_after = 0;
+      }
     record->submit = job;
     Append (record);
   }
@@ -254,7 +266,14 @@
     if (log_unavailable)
       return;
     while (Cb__BatchRecord *record = cb_batch_pop_record (active))
-      Append (record);
+      if (cb__batch_record__get_packed_size (record) > params.record_bytes_max)
+        {
+          refused_records++;
+          cb_batch_append_failed (active, record, TRUE, now);
+          cb_msg_free (record);
+        }
+      else
+        Append (record);
   }
   void
   Report (Worker &w)
@@ -309,6 +328,7 @@
 private:
   cb_batch_t *active = nullptr;
   std::map<std::string, std::shared_ptr<Cb__WorkerReport> > last_report;
+  std::map<std::string, std::vector<Cb__BatchStep> > steps_; // of each job
 
   void
   EndRun (Worker &w, std::string task, Cb__RunEnd how, const std::string &checkpoint)
@@ -436,21 +456,7 @@
   Cb__BatchStep
   FindStep (const Cb__TaskRun *run)
   {
-    Cb__BatchSnapshot *snapshot = cb_batch_save_snapshot (primary, 0);
-    Cb__BatchStep spec = CB__BATCH_STEP__INIT;
-
-    for (size_t i = 0; i < snapshot->n_jobs; i++)
-      if (strcmp (snapshot->jobs[i]->job->id, run->job) == 0)
-        {
-          const Cb__BatchStep *step = snapshot->jobs[i]->job->steps[run->step];
-          spec.accelerators = step->accelerators;
-          spec.cpu_milli = step->cpu_milli;
-          spec.gang = step->gang;
-          spec.fills = step->fills;
-          spec.daemon = step->daemon;
-        }
-    cb_msg_free (snapshot);
-    return spec;
+    return steps_.at (run->job).at (run->step);
   }
   void
   CheckInvariants ()
--- a/test/batch_size_test.cc
+++ b/test/batch_size_test.cc
@@ -62,6 +62,51 @@
   EXPECT_GE (in_time, 152) << "of 160 tasks";
 }
 
+// Guards against accepted jobs that never start because the log refuses the record of
+// all starts of a placement pass as too large, again and again (review/1): the jobs
+// wait while there is no scheduler, and all of their tasks fit at a time.
+TEST (BatchSize, ManyTasksThatWaitForASchedulerAllStart)
+{
+  BatchSimulation sim (11, 3, {}, 4000);
+
+  sim.Advance (500);
+  for (int i = 0; i < 10; i++)
+    {
+      std::string id = "j" + std::to_string (i);
+
+      sim.run_time_ms[id] = 2000;
+      sim.Submit (id, 0, { { 60, 0, 1000 } });
+    }
+  sim.Append (sim.NewHeartbeat ());
+  sim.Claim (sim.standby);
+  sim.Advance (6000);
+  EXPECT_EQ (sim.refused_records, 0);
+  EXPECT_EQ (sim.done.size (), 600u);
+  sim.Submit ("later", 0, { { 1, 8 } });
+  sim.Advance (2000);
+  EXPECT_EQ (sim.Status ("later"), CB_JOB_COMPLETED);
+}
+
+// Guards against the ends of many runs that are lost at a time and make one record that
+// the log refuses: their tasks would never start again.
+TEST (BatchSize, ManyRunsLostWithTheirWorkerStartAgain)
+{
+  BatchSimulation sim (2, 2, {}, 4000);
+
+  sim.workers[1]->reachable = false;
+  sim.Advance (2000);
+  sim.run_time_ms["j"] = 20000;
+  sim.Submit ("j", 1, { { 600, 0, 100 } });
+  sim.Advance (2000);
+  EXPECT_EQ (sim.refused_records, 0);
+  ASSERT_EQ (sim.Running ("j"), 600);
+  sim.workers[1]->reachable = true;
+  sim.workers[0]->reachable = false;
+  sim.Advance (12000);
+  EXPECT_EQ (sim.refused_records, 0);
+  EXPECT_EQ (sim.workers[1]->running.size (), 600u);
+}
+
 // Guards against a takeover on a large fleet that places work on the first workers that
 // report, or waits for those that never do.
 TEST (BatchSize, TakeoverUnderLoadGoesOn)
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -413,7 +413,7 @@
   Cb__BatchRecord *lost = cb_batch_pop_record (sim.primary);
   ASSERT_NE (lost, nullptr);
   ASSERT_EQ (lost->body_case, CB__BATCH_RECORD__BODY_STARTS);
-  cb_batch_append_failed (sim.primary, lost);
+  cb_batch_append_failed (sim.primary, lost, FALSE, sim.now);
   cb_msg_free (lost);
   sim.Advance (2500);
   EXPECT_EQ (sim.Status ("j"), CB_JOB_COMPLETED);
