--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -78,6 +78,7 @@
   uint64_t snapshot_offset;     /* next_offset of the last snapshot written here */
   cb_msec_t snapshot_ended_ms;  /* when the last attempt to write one ended */
   gboolean writing_snapshot;
+  gboolean snapshot_failed; /* the last attempt */
 
   /* Reading the operator's configuration. */
   uint64_t config_next_offset; /* of the next change to read */
--- a/cmd/batch_save.c
+++ b/cmd/batch_save.c
@@ -2,28 +2,44 @@
    that starts, or whose next log records have expired, reads the newest one. */
 #include "cmd/batch.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Keyed topic of the snapshots. A snapshot is split into chunks with the keys `a.0`,
-   `a.1`, ... or `b.0`, `b.1`, ...; the two sets are used alternately. The key `head`
-   names the set of the newest complete snapshot, its number of chunks and its size in
-   bytes. */
+   `a.1`, ... or `b.0`, `b.1`, ...; a new one is written to the set that the head does
+   not name. The key `head` names the set of the newest complete snapshot, its number of
+   chunks, its size in bytes and its checksum. */
 #define SNAPSHOT_TOPIC "keyed.batch"
 #define HEAD_KEY "head"
+/* A key between those of the chunks and the head. */
+#define BEFORE_HEAD_KEY "h"
 /* Largest chunk; a record of the store holds at most 262,144 bytes. */
 #define CHUNK_BYTES 200000
 /* A snapshot is written after this many records, or when the store's retention time
-   divided by SNAPSHOTS_PER_RETENTION has passed since the last attempt. */
+   divided by SNAPSHOTS_PER_RETENTION has passed since the last one. */
 #define SNAPSHOT_RECORDS 4000
 #define SNAPSHOTS_PER_RETENTION 4
+/* Pause after a failed attempt. */
+#define SNAPSHOT_RETRY_MS 1000
 
 typedef struct
 {
-  cb_batch_entry_t *entry;
-  GBytes *data;
-  uint32_t next_chunk; /* n_chunks: the head is next */
+  char set; /* `a` or `b` */
   uint32_t n_chunks;
+  size_t bytes;
+  uint64_t checksum;
+  gboolean has_checksum; /* not in a head of an earlier version */
+} head_t;
+
+typedef struct
+{
+  cb_batch_entry_t *entry;
+  GBytes *data; /* NULL: not made yet */
+  head_t head;
+  uint32_t next_chunk;  /* n_chunks: the head is next */
+  uint64_t topic_end;   /* offset of the next record of the topic */
   uint64_t next_offset; /* of the first record that the snapshot does not contain */
 } save_t;
 
@@ -36,20 +52,36 @@
 
 static void put_next (save_t *save);
 
+/* Decodes the value of the head. Returns FALSE when it has another form. */
+static gboolean
+read_head (const void *value, size_t bytes, head_t *head)
+{
+  char *text = g_strndup (value, bytes);
+  int fields = sscanf (text, "%c %u %zu %" SCNx64, &head->set, // NOLINT
+                       &head->n_chunks, &head->bytes, &head->checksum);
+
+  head->has_checksum = fields == 4;
+  g_free (text);
+  return fields >= 3 && (head->set == 'a' || head->set == 'b');
+}
+
 static void
 finish_save (save_t *save, gboolean stored)
 {
   cb_batch_entry_t *entry = save->entry;
 
   entry->writing_snapshot = FALSE;
+  entry->snapshot_failed = !stored;
   if (stored)
     entry->snapshot_offset = save->next_offset;
   entry->snapshot_ended_ms = cb_batch_now_ms ();
   /* A failed write has the same event name, with stored=0. */
   cb_event (stored ? CB_LOG_INFO : CB_LOG_WARN, "entry", "snapshot_written",
-            "next=%" PRIu64 " chunks=%u bytes=%zu stored=%d", save->next_offset,
-            save->n_chunks, g_bytes_get_size (save->data), stored);
-  g_bytes_unref (save->data);
+            "next=%" PRIu64 " set=%c chunks=%u bytes=%zu stored=%d", save->next_offset,
+            save->head.set == 0 ? '-' : save->head.set, save->head.n_chunks,
+            save->head.bytes, stored);
+  if (save->data != NULL)
+    g_bytes_unref (save->data);
   g_free (save);
 }
 
@@ -59,7 +91,7 @@
   save_t *save = ctx;
 
   (void)offset;
-  if (err < 0 || save->next_chunk > save->n_chunks)
+  if (err < 0 || save->next_chunk > save->head.n_chunks)
     {
       finish_save (save, err == CB_OK);
       return;
@@ -67,60 +99,88 @@
   put_next (save);
 }
 
-/* Writes the next chunk, or the head after the last chunk. */
+/* Writes the next chunk, or the head after the last chunk, on the condition that nobody
+   else has written to the topic since the head was read. So neither an earlier
+   scheduler nor a write of an earlier attempt that the store carries out late can
+   replace a chunk of the newest complete snapshot. */
 static void
 put_next (save_t *save)
 {
   size_t size;
   const char *data = g_bytes_get_data (save->data, &size);
-  char slot = save->next_offset % 2 == 0 ? 'a' : 'b';
   size_t from = (size_t)save->next_chunk * CHUNK_BYTES;
   char *key;
   char *head;
 
-  if (save->next_chunk++ < save->n_chunks)
+  if (save->next_chunk++ < save->head.n_chunks)
     {
-      key = g_strdup_printf ("%c.%u", slot, save->next_chunk - 1);
+      key = g_strdup_printf ("%c.%u", save->head.set, save->next_chunk - 1);
       cb_store_put (save->entry->store, SNAPSHOT_TOPIC, key, data + from,
-                    MIN (CHUNK_BYTES, size - from), on_put, save);
+                    MIN (CHUNK_BYTES, size - from), save->topic_end++, on_put, save);
       g_free (key);
       return;
     }
-  head = g_strdup_printf ("%c %u %zu", slot, save->n_chunks, size);
+  head = g_strdup_printf ("%c %u %zu %" PRIx64, save->head.set, save->head.n_chunks,
+                          size, save->head.checksum);
   cb_store_put (save->entry->store, SNAPSHOT_TOPIC, HEAD_KEY, head, strlen (head),
-                on_put, save);
+                save->topic_end++, on_put, save);
   g_free (head);
 }
 
-/* Starts to write a snapshot when this entry is the scheduler and one is due. The
-   parity of next_offset selects the set of keys. A snapshot is written only at an
-   offset of the other parity than this entry's last one, so that the new snapshot does
-   not overwrite that one. */
+/* Makes the snapshot and starts to write it to the set that the present head does not
+   name. */
+static void
+on_head (void *ctx, int err, const cb_store_item_t *items, size_t count, gboolean more,
+         uint64_t next)
+{
+  save_t *save = ctx;
+  cb_batch_entry_t *entry = save->entry;
+  Cb__BatchSnapshot *snapshot;
+  head_t present = { .set = 'b' };
+
+  (void)more;
+  for (size_t i = 0; err == CB_OK && i < count; i++)
+    if (strcmp (items[i].key, HEAD_KEY) == 0 && items[i].value != NULL)
+      read_head (items[i].value, items[i].value_bytes, &present);
+  if (err < 0 || entry->own_epoch == 0)
+    {
+      finish_save (save, FALSE);
+      return;
+    }
+  save->topic_end = next;
+  save->next_offset = entry->next_offset;
+  snapshot = cb_batch_save_snapshot (entry->batch, entry->next_offset);
+  save->data = cb_msg_pack (&snapshot->base);
+  cb_msg_free (snapshot);
+  save->head.set = present.set == 'a' ? 'b' : 'a';
+  save->head.bytes = g_bytes_get_size (save->data);
+  save->head.n_chunks = (uint32_t)((save->head.bytes + CHUNK_BYTES - 1) / CHUNK_BYTES);
+  save->head.checksum =
+      XXH3_64bits (g_bytes_get_data (save->data, NULL), save->head.bytes);
+  put_next (save);
+}
+
+/* Starts to write a snapshot when this entry is the scheduler and one is due. */
 void
 cb_batch_snapshot_tick (cb_batch_entry_t *entry, cb_msec_t now_ms)
 {
   cb_msec_t every_ms =
       (cb_msec_t)(entry->settings->keep_s * 1000 / SNAPSHOTS_PER_RETENTION);
-  Cb__BatchSnapshot *snapshot;
+  cb_msec_t since_ms = now_ms - entry->snapshot_ended_ms;
   save_t *save;
 
   if (entry->own_epoch == 0 || entry->writing_snapshot || !entry->healthy ||
-      entry->next_offset == entry->snapshot_offset ||
-      entry->next_offset % 2 == entry->snapshot_offset % 2)
+      entry->next_offset == entry->snapshot_offset)
     return;
-  if (entry->next_offset - entry->snapshot_offset < SNAPSHOT_RECORDS &&
-      (every_ms == 0 || now_ms - entry->snapshot_ended_ms < every_ms))
+  if (entry->snapshot_failed
+          ? since_ms < SNAPSHOT_RETRY_MS
+          : entry->next_offset - entry->snapshot_offset < SNAPSHOT_RECORDS &&
+                (every_ms == 0 || since_ms < every_ms))
     return;
   save = g_new0 (save_t, 1);
   save->entry = entry;
-  save->next_offset = entry->next_offset;
-  snapshot = cb_batch_save_snapshot (entry->batch, entry->next_offset);
-  save->data = cb_msg_pack (&snapshot->base);
-  cb_msg_free (snapshot);
-  save->n_chunks =
-      (uint32_t)((g_bytes_get_size (save->data) + CHUNK_BYTES - 1) / CHUNK_BYTES);
   entry->writing_snapshot = TRUE;
-  put_next (save);
+  cb_store_read_newest (entry->store, SNAPSHOT_TOPIC, BEFORE_HEAD_KEY, on_head, save);
 }
 
 static void
@@ -157,23 +217,29 @@
   cb_msg_free (snapshot);
 }
 
+/* TRUE when BYTES are the whole snapshot that HEAD describes. The scheduler may have
+   written to the set while it was read. */
+static gboolean
+is_complete (const head_t *head, const GByteArray *bytes)
+{
+  return bytes->len > 0 && bytes->len == head->bytes &&
+         (!head->has_checksum ||
+          XXH3_64bits (bytes->data, bytes->len) == head->checksum);
+}
+
 /* Joins the chunks that the head names and restores the snapshot if none is missing. */
 static void
 join_chunks (load_t *load)
 {
-  GBytes *head = g_hash_table_lookup (load->items, HEAD_KEY);
+  GBytes *value = g_hash_table_lookup (load->items, HEAD_KEY);
   GByteArray *bytes = g_byte_array_new ();
-  char *text = head == NULL
-                   ? NULL
-                   : g_strndup (g_bytes_get_data (head, NULL), g_bytes_get_size (head));
-  char slot = 0;
-  uint32_t chunks = 0;
-  size_t size = 0;
-
-  if (text != NULL && sscanf (text, "%c %u %zu", &slot, &chunks, &size) == 3) // NOLINT
-    for (uint32_t i = 0; i < chunks; i++)
+  head_t head = { 0 };
+
+  if (value != NULL &&
+      read_head (g_bytes_get_data (value, NULL), g_bytes_get_size (value), &head))
+    for (uint32_t i = 0; i < head.n_chunks; i++)
       {
-        char *key = g_strdup_printf ("%c.%u", slot, i);
+        char *key = g_strdup_printf ("%c.%u", head.set, i);
         GBytes *chunk = g_hash_table_lookup (load->items, key);
 
         if (chunk != NULL)
@@ -181,13 +247,13 @@
                                (guint)g_bytes_get_size (chunk));
         g_free (key);
       }
-  if (size > 0 && bytes->len == size)
+  if (is_complete (&head, bytes))
     restore_snapshot (load->entry, bytes);
-  else if (head != NULL)
+  else if (value != NULL)
     cb_event_unlimited (CB_LOG_ERROR, "entry", "snapshot_incomplete",
-                        "bytes=%u expected=%zu", bytes->len, size);
+                        "set=%c bytes=%u expected=%zu", head.set, bytes->len,
+                        head.bytes);
   g_byte_array_unref (bytes);
-  g_free (text);
 }
 
 static void
--- a/fakes/store.c
+++ b/fakes/store.c
@@ -6,6 +6,7 @@
    - `silent`: no call gets a reply, and none takes effect.
    - `deaf`: the same for appends only.
    - `lose`: appends are stored, but get no reply.
+   - `lose-keyed`: the same for appends to keyed topics only.
    - `slow`: each call takes SLOW_MS, and a topic handles one append at a time.
    - `miss`: an append does not wake the reads that wait for it.
    - `ok`: no fault.
@@ -32,6 +33,7 @@
 
 typedef struct
 {
+  gboolean keyed;          /* each record has a key */
   GPtrArray *records;      /* of GBytes, from offset 0 */
   cb_msec_t append_end_ms; /* mode `slow`: when the last append will be handled */
 } topic_t;
@@ -69,6 +71,7 @@
   if (topic != NULL)
     return topic;
   topic = g_new0 (topic_t, 1);
+  topic->keyed = g_str_has_prefix (name, KEYED_PREFIX);
   topic->records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_hash_table_insert (store->topics, g_strdup (name), topic);
   return topic;
@@ -131,6 +134,7 @@
 {
   size_t len;
   const uint8_t *body = (const uint8_t *)cb_http_body (req, &len);
+  const char *at_offset = cb_http_query (req, "at");
   uint64_t first = topic->records->len;
 
   if (cb_fake_use_mode (&store->fake, "deaf"))
@@ -138,7 +142,11 @@
       cb_http_no_reply (req);
       return;
     }
-
+  if (at_offset != NULL && g_ascii_strtoull (at_offset, NULL, 10) != first)
+    {
+      cb_fake_reply (req, 412, json_pack ("{s:I}", "end", (json_int_t)first));
+      return;
+    }
   for (size_t at = 0; at + LENGTH_BYTES <= len;)
     {
       size_t size = (size_t)body[at] << 24 | (size_t)body[at + 1] << 16 |
@@ -155,7 +163,8 @@
     }
   if (cb_fake_use_mode (&store->fake, "miss"))
     suppress_wakeups (store, topic);
-  if (cb_fake_use_mode (&store->fake, "lose"))
+  if (cb_fake_use_mode (&store->fake, "lose") ||
+      (topic->keyed && cb_fake_use_mode (&store->fake, "lose-keyed")))
     {
       cb_http_no_reply (req);
       return;
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -121,6 +121,54 @@
              1);
 }
 
+// Returns the newest value of KEY in the store's TOPIC, in base64; empty: none.
+std::string
+NewestValue (PlatformSite &site, const std::string &topic, const std::string &key)
+{
+  std::string body =
+      site.Call (site.store, "GET", "/api/log-newest?topic=" + topic + "&part=0").body;
+  json_t *root = json_loads (body.c_str (), 0, nullptr);
+  std::string value;
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (json_object_get (root, "items"), i, item)
+  {
+    if (key == json_string_value (json_object_get (item, "key")))
+      value = json_string_value (json_object_get (item, "value"));
+  }
+  json_decref (root);
+  return value;
+}
+
+// Guards against a new scheduler that writes its first snapshot over the newest
+// complete one: if it does not end, no entry can start once the log's records expire
+// (review/3).
+TEST (PlatformSite, FailedSnapshotLeavesTheNewestOneIntact)
+{
+  PlatformSite site (1, 1, false, 4);
+  // The head of set b, in base64, begins with this.
+  const std::string set_b = "YiA";
+  std::string head;
+  std::string chunk;
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 200);
+  ASSERT_TRUE (site.Until ([&] {
+    return site.State (0, 1, 0) == "completed" &&
+           NewestValue (site, "keyed.batch", "head").rfind (set_b, 0) == 0;
+  }));
+  site.Kill ("entry0");
+  head = NewestValue (site, "keyed.batch", "head");
+  ASSERT_EQ (head.substr (0, 3), set_b);
+  chunk = NewestValue (site, "keyed.batch", "b.0");
+  site.Control (site.store, "{\"mode\":\"lose-keyed\"}");
+  site.StartEntry (0);
+  EXPECT_TRUE (site.Until ([&] { return site.Logged ("entry0", "stored=0"); }));
+  EXPECT_EQ (NewestValue (site, "keyed.batch", "head"), head);
+  EXPECT_EQ (NewestValue (site, "keyed.batch", "b.0"), chunk);
+}
+
 // Guards against a process that exits or loses its jobs when SIGHUP makes it reload its
 // settings, and against a reload that applies a file with errors.
 TEST (PlatformSite, HangupSignalReloadsTheSettings)
