Store each cancellation, and let it hold for a later submission

Cause: an entry answered 410 for a job that its copy of the log did not show if the copy was at most 2.5 s old, and wrote no record. The submission could be in the log already, or its append could still be carried out late by the store.

The caller gets 200, or 410 if no submission precedes the record, once the entry has read it; without the store, 503 or 504 as before.

--- a/batch/fold.c
+++ b/batch/fold.c
@@ -40,12 +40,18 @@
 }
 
 /* Removes jobs that ended more than params.job_retention_ms ago, unless a run of theirs
-   has not ended yet. */
+   has not ended yet, and cancellations of unknown jobs of that age. */
 static void
 remove_expired_jobs (cb_batch_t *b, cb_msec_t wall_ms)
 {
   GList *link = b->job_list.head;
+  GHashTableIter iter;
+  gpointer value;
 
+  g_hash_table_iter_init (&iter, b->canceled);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (wall_ms - *(const cb_msec_t *)value > b->params.job_retention_ms)
+      g_hash_table_iter_remove (&iter);
   while (link != NULL)
     {
       GList *next = link->next;
@@ -65,6 +71,8 @@
 apply_submit (cb_batch_t *b, const Cb__BatchJob *spec, cb_msec_t now_ms,
               cb_msec_t wall_ms)
 {
+  job_t *job;
+
   if (find_job (b, spec->id) != NULL)
     return;
   if (check_steps (spec) < 0)
@@ -74,16 +82,38 @@
       return;
     }
   remove_expired_jobs (b, wall_ms);
-  add_job (b, spec, now_ms);
+  job = add_job (b, spec, now_ms);
+  if (g_hash_table_remove (b->canceled, spec->id))
+    {
+      job->canceled = TRUE;
+      job->ended_wall_ms = wall_ms;
+    }
   b->dirty = TRUE;
 }
 
+/* Notes that job ID, which is not known, was canceled at WALL_MS: a submission that the
+   log takes only later does not run. */
+void
+note_canceled (cb_batch_t *b, const char *id, cb_msec_t wall_ms)
+{
+  cb_msec_t *canceled_ms = g_new (cb_msec_t, 1);
+
+  *canceled_ms = wall_ms;
+  g_hash_table_replace (b->canceled, g_strdup (id), canceled_ms);
+}
+
 static void
 apply_cancel (cb_batch_t *b, const Cb__BatchCancel *cancel, cb_msec_t wall_ms)
 {
   job_t *job = find_job (b, cancel->job);
 
-  if (job == NULL || !job_open (job))
+  if (job == NULL)
+    {
+      remove_expired_jobs (b, wall_ms);
+      note_canceled (b, cancel->job, wall_ms);
+      return;
+    }
+  if (!job_open (job))
     return;
   job->canceled = TRUE;
   job->ended_wall_ms = wall_ms;
--- a/batch/local.h
+++ b/batch/local.h
@@ -213,9 +213,11 @@
 {
   cb_batch_params_t params;
   cb_batch_config_t *config;
-  GHashTable *jobs;             /* id -> job_t */
-  GQueue job_list;              /* of job_t in order of acceptance, also ended ones */
-  GHashTable *workers;          /* id/incarnation -> worker_t */
+  GHashTable *jobs;     /* id -> job_t */
+  GQueue job_list;      /* of job_t in order of acceptance, also ended ones */
+  GHashTable *canceled; /* id of an unknown job -> cb_msec_t, wall clock: canceled
+                           before its submission is in the log */
+  GHashTable *workers;  /* id/incarnation -> worker_t */
   GHashTable *workers_of_agent; /* agent -> GPtrArray of worker_t, not owned */
   GPtrArray *changed_workers;   /* of worker_t: their commands may have changed */
   GHashTable *agents;           /* name -> agent_t */
@@ -277,6 +279,9 @@
 job_t *add_job (cb_batch_t *b, const Cb__BatchJob *spec, cb_msec_t now_ms);
 Cb__TaskRun *task_run_new (const task_t *task, uint32_t run);
 
+/* fold.c */
+void note_canceled (cb_batch_t *b, const char *id, cb_msec_t wall_ms);
+
 /* workers.c */
 GHashTable *workers_table_new (void);
 GHashTable *workers_of_agent_new (void);
--- a/batch/snapshot.c
+++ b/batch/snapshot.c
@@ -55,6 +55,7 @@
 {
   Cb__BatchSnapshot *snapshot = cb_msg_new (&cb__batch_snapshot__descriptor);
   GHashTableIter iter;
+  gpointer key;
   gpointer value;
 
   snapshot->next = next_offset;
@@ -74,6 +75,15 @@
       message->cpu_milli = agent->cpu_milli;
       cb_msg_append ((void ***)&snapshot->agents, &snapshot->n_agents, message);
     }
+  g_hash_table_iter_init (&iter, b->canceled);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      Cb__BatchCanceled *message = cb_msg_new (&cb__batch_canceled__descriptor);
+
+      cb_msg_set_string (&message->job, key);
+      message->canceled_ms = (uint64_t) * (const cb_msec_t *)value;
+      cb_msg_append ((void ***)&snapshot->canceled, &snapshot->n_canceled, message);
+    }
   return snapshot;
 }
 
@@ -143,6 +153,9 @@
   b->scheduler = g_strdup (snapshot->scheduler);
   for (size_t i = 0; i < snapshot->n_jobs; i++)
     load_job (b, snapshot->jobs[i], now_ms);
+  for (size_t i = 0; i < snapshot->n_canceled; i++)
+    note_canceled (b, snapshot->canceled[i]->job,
+                   (cb_msec_t)snapshot->canceled[i]->canceled_ms);
   record.body_case = CB__BATCH_RECORD__BODY_AGENT;
   for (size_t i = 0; i < snapshot->n_agents; i++)
     {
--- a/batch/state.c
+++ b/batch/state.c
@@ -47,6 +47,7 @@
 
   b->params = *params;
   b->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  b->canceled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   b->workers = workers_table_new ();
   b->changed_workers = g_ptr_array_new ();
   b->workers_of_agent = workers_of_agent_new ();
@@ -68,6 +69,7 @@
   g_queue_clear (&b->job_list);
   cb_batch_advice_request_free (b->advice_request);
   g_hash_table_unref (b->jobs);
+  g_hash_table_unref (b->canceled);
   g_ptr_array_free (b->changed_workers, TRUE);
   g_hash_table_unref (b->workers_of_agent);
   g_hash_table_unref (b->workers);
--- a/cmd/batch.h
+++ b/cmd/batch.h
@@ -100,6 +100,7 @@
   cb_msec_t turn_ms;              /* when the scheduler last had a turn */
   cb_msec_t resumed_ms; /* when the event loop last went on after a long delay */
 
+  GQueue pending_cancels;             /* of pending_cancel_t of batch_http.c */
   GHashTable *unresolved_submissions; /* job that may be stored -> since when, ms */
   gboolean advice_pending;            /* a call to the advisor is under way */
   cb_msec_t advice_not_before_ms;     /* earliest next call to the advisor */
@@ -165,6 +166,7 @@
 
 /* batch_http.c */
 void cb_batch_serve_request (cb_batch_entry_t *entry, cb_http_req_t *req);
+void cb_batch_answer_cancels (cb_batch_entry_t *entry, cb_msec_t now_ms);
 void cb_batch_note_unresolved (cb_batch_entry_t *entry, const char *id);
 void cb_batch_reply (cb_batch_entry_t *entry, cb_http_req_t *req, int status,
                      const char *body, size_t len);
--- a/cmd/batch_entry.c
+++ b/cmd/batch_entry.c
@@ -69,6 +69,7 @@
   cb_batch_reload_settings ("entry");
   continue_shutdown (entry, now_ms);
   cb_batch_process_due (entry);
+  cb_batch_answer_cancels (entry, now_ms);
   cb_batch_snapshot_tick (entry, now_ms);
   cb_batch_register_address (entry);
   busy =
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -11,11 +11,24 @@
 #define READY_LOG_AGE_MS 3000
 /* Retry-After of an entry that has no configuration yet. */
 #define NO_CONFIG_RETRY_AFTER_MS 1000
+/* A cancellation that is stored is answered at the latest after this time, even if the
+   entry has not read it yet. Callers wait 3 s for a reply. */
+#define CANCEL_REPLY_MS 2500
 /* A submission without a definite outcome is remembered for at least this long, which
    is longer than callers retry; it is removed when a later one is noted. The writer
    repeats its append until the store answers. */
 #define UNRESOLVED_RETENTION_MS 60000
 
+/* A caller whose cancellation is stored, and who gets the reply once the entry has read
+   it. */
+typedef struct
+{
+  cb_http_req_t *req;
+  char *job;
+  uint64_t end_offset; /* the cancellation is before this offset of the log */
+  cb_msec_t due_ms;    /* time of the reply if it has not been read */
+} pending_cancel_t;
+
 /* Replies to a caller's request with LEN bytes of JSON, observes the request's duration
    and frees REQ. */
 void
@@ -80,12 +93,6 @@
 {
   const Cb__BatchJob *job = record->submit;
 
-  if (record->body_case == CB__BATCH_RECORD__BODY_CANCEL)
-    {
-      cb_counters_add (entry->counters, "jobs_canceled_total", NULL, 1);
-      cb_event (CB_LOG_INFO, "entry", "cancel_accepted", "job=%s", record->cancel->job);
-      return;
-    }
   cb_counters_add (entry->counters, "jobs_accepted_total", NULL, 1);
   /* The fields from `tasks` on describe only the first step. */
   cb_event (CB_LOG_INFO, "entry", "accepted",
@@ -245,25 +252,70 @@
   cb_batch_process_due (entry);
 }
 
+/* Answers the cancellations that the entry has read since they were stored, and those
+   that are due. A cancellation that is stored holds, also for a submission that comes
+   later in the log. */
+void
+cb_batch_answer_cancels (cb_batch_entry_t *entry, cb_msec_t now_ms)
+{
+  GList *link = entry->pending_cancels.head;
+
+  while (link != NULL)
+    {
+      GList *next = link->next;
+      pending_cancel_t *cancel = link->data;
+      gboolean read = entry->next_offset >= cancel->end_offset;
+
+      if (read || now_ms >= cancel->due_ms)
+        {
+          gboolean missing =
+              read && cb_batch_job_status (entry->batch, cancel->job) == CB_JOB_UNKNOWN;
+
+          reply_json (entry, cancel->req, missing ? 410 : 200, "{}");
+          g_queue_delete_link (&entry->pending_cancels, link);
+          g_free (cancel->job);
+          g_free (cancel);
+        }
+      link = next;
+    }
+}
+
 static void
-cancel_job (cb_batch_entry_t *entry, cb_http_req_t *req, const char *id)
+on_canceled (cb_batch_entry_t *entry, void *ctx, int err, const Cb__BatchRecord *record)
 {
-  Cb__BatchRecord *record;
-  cb_job_status_t status = cb_batch_job_status (entry->batch, id);
+  pending_cancel_t *cancel;
 
-  if (status == CB_JOB_UNKNOWN && refuse_if_uncertain (entry, req, id))
-    return;
-  if (status == CB_JOB_UNKNOWN)
+  if (err < 0)
     {
-      reply_json (entry, req, 410, "{}");
+      on_appended (entry, ctx, err, record);
       return;
     }
+  cb_counters_add (entry->counters, "jobs_canceled_total", NULL, 1);
+  cb_event (CB_LOG_INFO, "entry", "cancel_accepted", "job=%s", record->cancel->job);
+  cancel = g_new0 (pending_cancel_t, 1);
+  cancel->req = ctx;
+  cancel->job = g_strdup (record->cancel->job);
+  cancel->end_offset = entry->known_end_offset;
+  cancel->due_ms = cb_batch_now_ms () + CANCEL_REPLY_MS - cb_http_age_ms (cancel->req);
+  g_queue_push_tail (&entry->pending_cancels, cancel);
+  cb_batch_answer_cancels (entry, cb_batch_now_ms ());
+}
+
+/* Stores the cancellation of job ID, also when the entry does not know the job: its
+   copy of the log may be old, and an append of the submission may still be under way.
+ */
+static void
+cancel_job (cb_batch_entry_t *entry, cb_http_req_t *req, const char *id)
+{
+  Cb__BatchRecord *record;
+  cb_job_status_t status = cb_batch_job_status (entry->batch, id);
+
   if (status == CB_JOB_CANCELED)
     {
       reply_json (entry, req, 200, "{}");
       return;
     }
-  if (cb_batch_log_is_lost (entry))
+  if (!entry->caught_up || cb_batch_log_is_lost (entry))
     {
       cb_batch_refuse (entry, req, 503, "store_unavailable",
                        outage_retry_after_ms (entry, req));
@@ -273,7 +325,7 @@
   record->body_case = CB__BATCH_RECORD__BODY_CANCEL;
   record->cancel = cb_msg_new (&cb__batch_cancel__descriptor);
   cb_msg_set_string (&record->cancel->job, id);
-  cb_batch_append (entry, record, on_appended, req);
+  cb_batch_append (entry, record, on_canceled, req);
   cb_batch_process_due (entry);
 }
 
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -283,6 +283,7 @@
                           cb_batch_epoch (entry->batch));
     }
   cb_batch_scheduler_check_role (entry);
+  cb_batch_answer_cancels (entry, cb_batch_now_ms ());
   cb_batch_process_due (entry);
   pause_ms = follow_pause_ms (entry, count);
   if (pause_ms > 0)
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &cb__batch_job_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cb__batch_canceled__init
+                     (Cb__BatchCanceled         *message)
+{
+  static const Cb__BatchCanceled init_value = CB__BATCH_CANCELED__INIT;
+  *message = init_value;
+}
+size_t cb__batch_canceled__get_packed_size
+                     (const Cb__BatchCanceled *message)
+{
+  assert(message->base.descriptor == &cb__batch_canceled__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cb__batch_canceled__pack
+                     (const Cb__BatchCanceled *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cb__batch_canceled__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cb__batch_canceled__pack_to_buffer
+                     (const Cb__BatchCanceled *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cb__batch_canceled__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cb__BatchCanceled *
+       cb__batch_canceled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cb__BatchCanceled *)
+     protobuf_c_message_unpack (&cb__batch_canceled__descriptor,
+                                allocator, len, data);
+}
+void   cb__batch_canceled__free_unpacked
+                     (Cb__BatchCanceled *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cb__batch_canceled__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cb__batch_snapshot__init
                      (Cb__BatchSnapshot         *message)
 {
@@ -2605,7 +2650,58 @@
   (ProtobufCMessageInit) cb__batch_job_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_snapshot__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cb__batch_canceled__field_descriptors[2] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchCanceled, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "canceled_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchCanceled, canceled_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cb__batch_canceled__field_indices_by_name[] = {
+  1,   /* field[1] = canceled_ms */
+  0,   /* field[0] = job */
+};
+static const ProtobufCIntRange cb__batch_canceled__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cb__batch_canceled__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cb.BatchCanceled",
+  "BatchCanceled",
+  "Cb__BatchCanceled",
+  "cb",
+  sizeof(Cb__BatchCanceled),
+  2,
+  cb__batch_canceled__field_descriptors,
+  cb__batch_canceled__field_indices_by_name,
+  1,  cb__batch_canceled__number_ranges,
+  (ProtobufCMessageInit) cb__batch_canceled__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cb__batch_snapshot__field_descriptors[6] =
 {
   {
     "next",
@@ -2667,9 +2763,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "canceled",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cb__BatchSnapshot, n_canceled),
+    offsetof(Cb__BatchSnapshot, canceled),
+    &cb__batch_canceled__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = agents */
+  5,   /* field[5] = canceled */
   1,   /* field[1] = epoch */
   3,   /* field[3] = jobs */
   0,   /* field[0] = next */
@@ -2678,7 +2787,7 @@
 static const ProtobufCIntRange cb__batch_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cb__batch_snapshot__descriptor =
 {
@@ -2688,7 +2797,7 @@
   "Cb__BatchSnapshot",
   "cb",
   sizeof(Cb__BatchSnapshot),
-  5,
+  6,
   cb__batch_snapshot__field_descriptors,
   cb__batch_snapshot__field_indices_by_name,
   1,  cb__batch_snapshot__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Cb__BatchTaskState Cb__BatchTaskState;
 typedef struct Cb__BatchStepState Cb__BatchStepState;
 typedef struct Cb__BatchJobState Cb__BatchJobState;
+typedef struct Cb__BatchCanceled Cb__BatchCanceled;
 typedef struct Cb__BatchSnapshot Cb__BatchSnapshot;
 typedef struct Cb__OrderedStart Cb__OrderedStart;
 typedef struct Cb__TaskPace Cb__TaskPace;
@@ -420,6 +421,20 @@
     , NULL, 0, 0, 0, 0,NULL }
 
 
+/*
+ * A canceled job whose submission is not in the log, or not yet.
+ */
+struct  Cb__BatchCanceled
+{
+  ProtobufCMessage base;
+  char *job;
+  uint64_t canceled_ms;
+};
+#define CB__BATCH_CANCELED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cb__batch_canceled__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Cb__BatchSnapshot
 {
   ProtobufCMessage base;
@@ -433,10 +448,12 @@
   Cb__BatchJobState **jobs;
   size_t n_agents;
   Cb__BatchAgent **agents;
+  size_t n_canceled;
+  Cb__BatchCanceled **canceled;
 };
 #define CB__BATCH_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_snapshot__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -961,6 +978,25 @@
 void   cb__batch_job_state__free_unpacked
                      (Cb__BatchJobState *message,
                       ProtobufCAllocator *allocator);
+/* Cb__BatchCanceled methods */
+void   cb__batch_canceled__init
+                     (Cb__BatchCanceled         *message);
+size_t cb__batch_canceled__get_packed_size
+                     (const Cb__BatchCanceled   *message);
+size_t cb__batch_canceled__pack
+                     (const Cb__BatchCanceled   *message,
+                      uint8_t             *out);
+size_t cb__batch_canceled__pack_to_buffer
+                     (const Cb__BatchCanceled   *message,
+                      ProtobufCBuffer     *buffer);
+Cb__BatchCanceled *
+       cb__batch_canceled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cb__batch_canceled__free_unpacked
+                     (Cb__BatchCanceled *message,
+                      ProtobufCAllocator *allocator);
 /* Cb__BatchSnapshot methods */
 void   cb__batch_snapshot__init
                      (Cb__BatchSnapshot         *message);
@@ -1163,6 +1199,9 @@
 typedef void (*Cb__BatchJobState_Closure)
                  (const Cb__BatchJobState *message,
                   void *closure_data);
+typedef void (*Cb__BatchCanceled_Closure)
+                 (const Cb__BatchCanceled *message,
+                  void *closure_data);
 typedef void (*Cb__BatchSnapshot_Closure)
                  (const Cb__BatchSnapshot *message,
                   void *closure_data);
@@ -1210,6 +1249,7 @@
 extern const ProtobufCMessageDescriptor cb__batch_task_state__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_step_state__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_job_state__descriptor;
+extern const ProtobufCMessageDescriptor cb__batch_canceled__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor cb__ordered_start__descriptor;
 extern const ProtobufCMessageDescriptor cb__task_pace__descriptor;
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -205,6 +205,26 @@
   EXPECT_EQ (sim.Running ("j"), 0);
 }
 
+// Guards against a job that runs although its cancellation was acknowledged, as its
+// submission was stored after that; also when a snapshot was loaded in between.
+TEST (Batch, CancellationHoldsForALaterSubmission)
+{
+  BatchSimulation sim (2, 2);
+
+  sim.Cancel ("j");
+  Cb__BatchSnapshot *snapshot = cb_batch_save_snapshot (sim.standby, sim.offset);
+  cb_batch_free (sim.standby);
+  sim.standby = cb_batch_new (&sim.params);
+  cb_batch_load_snapshot (sim.standby, snapshot, sim.now, sim.now);
+  cb_msg_free (snapshot);
+  EXPECT_EQ (sim.Status ("j"), CB_JOB_UNKNOWN);
+  sim.SubmitAndRun ("j", 0, { { 2, 1 } }, 1000, 500);
+  EXPECT_EQ (sim.Status ("j"), CB_JOB_CANCELED);
+  EXPECT_EQ (sim.first_start_ms.size (), 0u);
+  sim.SubmitAndRun ("other", 0, { { 2, 1 } }, 1000, 2000);
+  EXPECT_EQ (sim.Status ("other"), CB_JOB_COMPLETED);
+}
+
 // Guards against urgent work that stays on a worker which responds but makes no
 // progress.
 TEST (Batch, StalledUrgentRunIsMoved)
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -600,6 +600,29 @@
   site.CheckRuns ();
 }
 
+// Guards against the reply that a job does not exist, for its cancellation, from an
+// entry whose copy of the log lacks the job: the job then runs on (review/5).
+TEST (PlatformSite, EntryThatCannotReadTheLogDoesNotDenyAJobToCancel)
+{
+  PlatformSite site (2, 1, true);
+  site::Reply reply;
+
+  ASSERT_TRUE (site.Up ());
+  site.Signal ("link-entry1", SIGSTOP);
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 60000")).status, 200);
+  reply = site.Call (site.callers[1], "DELETE", site.Path (1, 0), "", 3000);
+  EXPECT_NE (reply.status, 410);
+  site.Signal ("link-entry1", SIGCONT);
+  EXPECT_TRUE (site.Until ([&] {
+    reply = site.Call (site.callers[1], "DELETE", site.Path (1, 0), "", 3000);
+    return reply.status == 200;
+  }));
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "cancelled"; }));
+  EXPECT_EQ (site.Call (site.callers[1], "DELETE", site.Path (9, 0), "", 3000).status,
+             410);
+  site.CheckRuns ();
+}
+
 // Guards against processes that wait forever on connections to the store that stay open
 // but carry no more data; only a timeout can detect this.
 TEST (PlatformSite, SilentConnectionsToTheStoreAreReplaced)
