Use an announced worker only once it responds

Cause: an agent replaced its worker by any that a heartbeat announced, and the scheduler took the runs of the former as lost.

Change: the agent first calls the announced address for the lists of the announced id, without a lease and without acknowledging ends. It uses the worker if that responds, and if the start time in the reply, where there is one, is the announced one. So a delayed heartbeat of an earlier process does not count either, also at an agent that has just restarted.

--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -38,6 +38,7 @@
   Cb__WorkerReport *report;     /* description and newest lists of the worker; no worker
                                    is known while the field `worker` is empty */
   uint64_t heartbeat_sequence;  /* of the newest heartbeat */
+  uint32_t announcements;       /* announced workers that are being asked */
   uint64_t lists_epoch;         /* epoch under which the lists were read; 0: none */
   cb_msec_t last_report_ms;     /* when a report was last sent */
   cb_msec_t report_interval_ms; /* at which unchanged reports are sent */
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -4,6 +4,9 @@
 
 #include "cmd/batch_agent.h"
 
+/* Largest number of announced workers that are asked at a time. */
+#define ANNOUNCEMENTS_MAX 8
+
 static void poll_worker (cb_batch_agent_t *agent, gboolean confirmed);
 
 /* One call for the worker's lists. */
@@ -267,6 +270,19 @@
   poll_worker (agent, FALSE);
 }
 
+/* TRUE when the agent has heard of something newer than the heartbeat NEXT number
+   SEQUENCE of WORKER: a later incarnation, or a later heartbeat of this one. */
+static gboolean
+is_outdated (const cb_batch_agent_t *agent, const char *worker,
+             const Cb__WorkerReport *next, uint64_t sequence)
+{
+  return cb_batch_agent_has_worker (agent) &&
+         (next->born_ms < agent->report->born_ms ||
+          (next->born_ms == agent->report->born_ms &&
+           strcmp (worker, agent->report->worker) == 0 &&
+           sequence <= agent->heartbeat_sequence));
+}
+
 /* Replaces the worker's description by NEXT, which was read from a heartbeat, and takes
    ownership of it. The lists are kept when the heartbeat is from the same incarnation
    of the same worker. */
@@ -314,6 +330,86 @@
   cb_batch_agent_poll_worker (agent);
 }
 
+/* The first heartbeat of a worker, while the agent asks whether it exists. */
+typedef struct
+{
+  cb_batch_agent_t *agent;
+  char *worker;
+  char *address;
+  uint64_t sequence;
+  Cb__WorkerReport *next; /* NULL: used */
+} announcement_t;
+
+static void
+on_announced_lists (void *ctx, int err, const Cb__WorkerReport *lists)
+{
+  announcement_t *a = ctx;
+  cb_batch_agent_t *agent = a->agent;
+  uint64_t born_ms = lists == NULL ? 0 : lists->born_ms;
+  gboolean same_incarnation = born_ms == 0 || born_ms == a->next->born_ms;
+  /* A worker that has received a newer epoch exists, too. Without an incarnation in its
+     reply, it is used only when there is no other one. */
+  gboolean exists =
+      err == CB_OK || (err == CB_PLATFORM_FENCED &&
+                       (born_ms != 0 || !cb_batch_agent_has_worker (agent)));
+
+  agent->announcements--;
+  if (exists && same_incarnation &&
+      !is_outdated (agent, a->worker, a->next, a->sequence))
+    {
+      agent->heartbeat_sequence = a->sequence;
+      apply_heartbeat (agent, a->worker, a->next, a->address);
+      a->next = NULL;
+    }
+  else
+    cb_event (CB_LOG_WARN, "agent", "worker_unconfirmed",
+              "worker=%s address=%s err=%d born_ms=%" PRIu64
+              " responds_born_ms=%" PRIu64,
+              a->worker, a->address, err, a->next->born_ms, born_ms);
+  cb_msg_free (a->next);
+  g_free (a->worker);
+  g_free (a->address);
+  g_free (a);
+}
+
+/* Asks the worker that a heartbeat has announced for its lists, before the agent uses
+   it instead of the present one: the heartbeat may come from another writer, or from an
+   incarnation that has ended since. Takes ownership of NEXT. Drops it while too many
+   such calls are under way; the worker sends another one. */
+static void
+confirm_worker (cb_batch_agent_t *agent, const char *worker, Cb__WorkerReport *next,
+                uint64_t sequence, const char *address)
+{
+  cb_worker_target_t target = { .address = address,
+                                .worker = worker,
+                                .epoch = agent->epoch };
+  announcement_t *a;
+
+  if (agent->announcements >= ANNOUNCEMENTS_MAX)
+    {
+      cb_msg_free (next);
+      return;
+    }
+  agent->announcements++;
+  a = g_new0 (announcement_t, 1);
+  a->agent = agent;
+  a->worker = g_strdup (worker);
+  a->address = g_strdup (address);
+  a->sequence = sequence;
+  a->next = next;
+  cb_worker_long_poll (agent->loop, &target, 0, 0, on_announced_lists, a);
+}
+
+/* TRUE when the heartbeat NEXT comes from the worker that the agent uses. */
+static gboolean
+is_current_worker (const cb_batch_agent_t *agent, const char *worker,
+                   const Cb__WorkerReport *next, const char *address)
+{
+  return strcmp (agent->report->worker, worker) == 0 &&
+         agent->report->born_ms == next->born_ms &&
+         strcmp (agent->worker_address, address) == 0;
+}
+
 static void
 on_worker_leaving (cb_batch_agent_t *agent, const char *worker)
 {
@@ -346,11 +442,7 @@
     }
   /* Ignores a delayed heartbeat: from an earlier incarnation, or older than the newest
      one of the current incarnation. */
-  if (cb_batch_agent_has_worker (agent) &&
-      (next->born_ms < agent->report->born_ms ||
-       (next->born_ms == agent->report->born_ms &&
-        strcmp (worker, agent->report->worker) == 0 &&
-        sequence <= agent->heartbeat_sequence)))
+  if (is_outdated (agent, worker, next, sequence))
     {
       cb_event (CB_LOG_INFO, "agent", "heartbeat_ignored",
                 "worker=%s born_ms=%" PRIu64 " seq=%" PRIu64 " current=%s "
@@ -359,11 +451,13 @@
                 agent->report->born_ms, agent->heartbeat_sequence);
       cb_msg_free (next);
     }
-  else
+  else if (is_current_worker (agent, worker, next, address))
     {
       agent->heartbeat_sequence = sequence;
       apply_heartbeat (agent, worker, next, address);
     }
+  else
+    confirm_worker (agent, worker, next, sequence, address);
   g_free (address);
   return 200;
 }
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -581,6 +581,35 @@
   EXPECT_EQ (site.Ends (1, "done"), 1);
 }
 
+// Guards against an agent that drops its worker, so that running tasks start a second
+// time elsewhere, for one that only a heartbeat of another writer has announced: nobody
+// listens at its address, or the worker there has another id or start time.
+TEST (PlatformSite, AnnouncedWorkerIsUsedOnlyIfItResponds)
+{
+  PlatformSite site (1, 2);
+  auto heartbeat = [&] (const std::string &id, const std::string &address) {
+    EXPECT_EQ (site.Call (site.controls[0], "POST",
+                          "/api/instances/" + id + "/heartbeat",
+                          "{\"service\":\"odd\",\"address\":\"" + address +
+                              "\",\"state\":\"ready\",\"capacity\":{\"cpu\":64000,"
+                              "\"memMb\":131072,\"gpu\":8},\"seq\":1,\"born\":" +
+                              std::to_string (time (nullptr) * 1000 + 60000) + "}")
+                   .status,
+               200);
+  };
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 1, site.Job (2, 8, "run 2000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.Starts (1) == 2; }));
+  heartbeat ("zz-odd", FreeAddress ());
+  heartbeat ("zz-odd", site.runners[0]);
+  heartbeat ("w0", site.runners[0]);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
+  EXPECT_EQ (site.Starts (1), 2);
+  EXPECT_FALSE (site.Logged ("agent0", "event=worker_lost"));
+  site.CheckRuns ();
+}
+
 TEST (PlatformSite, ColdStartOfAllEntriesKeepsAcceptedWork)
 {
   PlatformSite site (2, 1);
