Ignore a notice of shutdown from an earlier incarnation of a worker

Cause: the agent compared the id alone. The notice says the start time of its process, which the agent now compares, too; a notice without one counts as before.

Evidence: NoticeOfAnEarlierIncarnationIsIgnored failed before with 3 starts of 2 tasks, passes.

--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -411,12 +411,19 @@
 }
 
 static void
-on_worker_leaving (cb_batch_agent_t *agent, const char *worker)
+on_worker_leaving (cb_batch_agent_t *agent, cb_http_req_t *req, const char *worker)
 {
-  if (strcmp (agent->report->worker, worker) != 0)
+  size_t len;
+  const char *body = cb_http_body (req, &len);
+  uint64_t born_ms = cb_platform_leave_read (body, len);
+
+  /* A delayed notice may come from an earlier incarnation. */
+  if (strcmp (agent->report->worker, worker) != 0 ||
+      (born_ms != 0 && born_ms != agent->report->born_ms))
     {
-      cb_event (CB_LOG_INFO, "agent", "leave_ignored", "worker=%s current=%s", worker,
-                agent->report->worker);
+      cb_event (CB_LOG_INFO, "agent", "leave_ignored",
+                "worker=%s born_ms=%" PRIu64 " current=%s current_born_ms=%" PRIu64,
+                worker, born_ms, agent->report->worker, agent->report->born_ms);
       return;
     }
   agent->report->left = TRUE;
@@ -476,7 +483,7 @@
     {
       status = 200;
       if (leaving)
-        on_worker_leaving (agent, worker);
+        on_worker_leaving (agent, req, worker);
       else
         status = on_heartbeat (agent, req, worker);
     }
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -610,6 +610,24 @@
   site.CheckRuns ();
 }
 
+// Guards against a second run of tasks after a delayed notice that their worker shuts
+// down, which its earlier process has sent.
+TEST (PlatformSite, NoticeOfAnEarlierIncarnationIsIgnored)
+{
+  PlatformSite site (1, 2);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 1, site.Job (2, 8, "run 2000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.Starts (1) == 2; }));
+  EXPECT_EQ (
+      site.Call (site.controls[0], "POST", "/api/instances/w0/leave", "{\"born\":1}")
+          .status,
+      200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
+  EXPECT_EQ (site.Starts (1), 2);
+  site.CheckRuns ();
+}
+
 TEST (PlatformSite, ColdStartOfAllEntriesKeepsAcceptedWork)
 {
   PlatformSite site (2, 1);
