Tests of unknown outcomes: faults begin with the append of the job

JobWithAnUnknownOutcomeIsNotReportedAsMissing and RepeatedRequestIsNotRefusedWhileTheFirstMayBeStored took for granted that no append of the entry was under way when the store stopped answering.

--- a/fakes/store.c
+++ b/fakes/store.c
@@ -7,6 +7,8 @@
    - `deaf`: the same for appends only.
    - `lose`: appends are stored, but get no reply.
    - `lose-keyed`: the same for appends to keyed topics only.
+   - `silent-at-job`, `deaf-at-job`: `silent` or `deaf` from the next append on that has
+   a job with the spec `run MS`; other calls until then are handled.
    - `slow`: each call takes SLOW_MS, and a topic handles one append at a time.
    - `miss`: an append does not wake the reads that wait for it.
    - `ok`: no fault.
@@ -275,6 +277,32 @@
   g_queue_push_tail (&store->delayed, delayed);
 }
 
+static gboolean
+is_append_of_job (cb_http_req_t *req)
+{
+  size_t len;
+  const char *body = cb_http_body (req, &len);
+
+  return strcmp (cb_http_path (req), "/api/log-append") == 0 && body != NULL &&
+         memmem (body, len, "run ", 4) != NULL;
+}
+
+/* Turns on the mode that waits for an append of a job, if REQ is one. */
+static void
+check_job_modes (store_t *store, cb_http_req_t *req)
+{
+  static const char *const modes[] = { "silent", "deaf" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (modes) && is_append_of_job (req); i++)
+    {
+      char *waiting = g_strconcat (modes[i], "-at-job", NULL);
+
+      if (cb_fake_mode_active (&store->fake, waiting))
+        g_strlcpy (store->fake.mode, modes[i], sizeof store->fake.mode);
+      g_free (waiting);
+    }
+}
+
 static void
 on_request (void *ctx, cb_http_req_t *req)
 {
@@ -282,6 +310,7 @@
 
   if (cb_fake_control (&store->fake, req))
     return;
+  check_job_modes (store, req);
   if (cb_fake_use_mode (&store->fake, "silent"))
     cb_http_no_reply (req);
   else if (cb_fake_use_mode (&store->fake, "busy"))
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -268,7 +268,7 @@
   PlatformSite site (1, 1);
 
   ASSERT_TRUE (site.Up ());
-  site.Control (site.store, "{\"mode\":\"silent\"}");
+  site.Control (site.store, "{\"mode\":\"silent-at-job\"}");
   EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 504);
   EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 504);
   EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 1, "run 50")).status, 503);
@@ -286,7 +286,7 @@
   PlatformSite site (1, 1);
 
   ASSERT_TRUE (site.Up ());
-  site.Control (site.store, "{\"mode\":\"deaf\"}");
+  site.Control (site.store, "{\"mode\":\"deaf-at-job\"}");
   EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 50")).status, 504);
   EXPECT_EQ (site.Call (site.callers[0], "GET", site.Path (1, 0)).status, 503);
   EXPECT_EQ (site.Call (site.callers[0], "DELETE", site.Path (1, 0)).status, 503);
