Reject heartbeats without an id of a worker

Found while reading the diff: since an announced worker is confirmed first, a heartbeat to /api/instances//heartbeat at an agent that has no worker ended the agent, as the empty id equals that of no worker (a null address was compared).

--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -407,7 +407,7 @@
 {
   return strcmp (agent->report->worker, worker) == 0 &&
          agent->report->born_ms == next->born_ms &&
-         strcmp (agent->worker_address, address) == 0;
+         g_strcmp0 (agent->worker_address, address) == 0;
 }
 
 static void
--- a/test/platform_site_test.cc
+++ b/test/platform_site_test.cc
@@ -576,6 +576,23 @@
     EXPECT_EQ (
         site.Call (site.controls[0], "POST", "/api/instances/w0/heartbeat", odd).status,
         400);
+  // The agent has no worker yet when it starts; an empty id must not pass for that.
+  site.Kill ("runner0");
+  site.Kill ("agent0");
+  site.StartAgent (0);
+  ASSERT_TRUE (site.Until ([&] {
+    return site.Call (site.controls[0], "POST", "/api/instances/w0/leave").status ==
+           200;
+  }));
+  for (const std::string &id : { std::string (), std::string (1000, 'w') })
+    EXPECT_EQ (site.Call (site.controls[0], "POST",
+                          "/api/instances/" + id + "/heartbeat",
+                          "{\"service\":\"svc\",\"address\":\"127.0.0.1:1\","
+                          "\"state\":\"ready\",\"capacity\":{\"cpu\":64000,"
+                          "\"memMb\":131072,\"gpu\":8},\"seq\":1}")
+                   .status,
+               404);
+  site.StartRunner (0);
   EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 100")).status, 200);
   EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
   EXPECT_EQ (site.Ends (1, "done"), 1);
