--- a/batch/fold.c
+++ b/batch/fold.c
@@ -87,6 +87,7 @@
     {
       job->canceled = TRUE;
       job->ended_wall_ms = wall_ms;
+      cb_event (CB_LOG_INFO, "batch", "submitted_after_cancel", "job=%s", spec->id);
     }
   b->dirty = TRUE;
 }
--- a/batch/report.c
+++ b/batch/report.c
@@ -172,6 +172,10 @@
 {
   gboolean all_durable = TRUE;
 
+  if (w->ended_partial != report->ended_partial)
+    cb_event (CB_LOG_INFO, "batch", "worker_ends_partial",
+              "worker=%s partial=%d ended=%zu", w->id, report->ended_partial,
+              report->n_ended);
   w->ended_partial = report->ended_partial;
   g_ptr_array_set_size (w->listed_ends, 0);
   for (size_t i = 0; i < report->n_ended; i++)
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -259,11 +259,11 @@
 }
 
 /* Calls the worker for its lists, which it returns when a task ends or a report is due,
-   unless such a call is under way, the pause after a
-   failed call is not over, or the worker has refused the current epoch. The call also
-   extends the worker's lease. A pending call under an earlier epoch is not waited for:
-   the new scheduler needs the lists before it can place tasks. Nor is one that was sent
-   before further ends of an incomplete list could be acknowledged. */
+   unless such a call is under way, the pause after a failed call is not over, or the
+   worker has refused the current epoch. The call also extends the worker's lease. A
+   pending call under an earlier epoch is not waited for: the new scheduler needs the
+   lists before it can place tasks. Nor is one that was sent before further ends of an
+   incomplete list could be acknowledged. */
 void
 cb_batch_agent_poll_worker (cb_batch_agent_t *agent)
 {
--- a/cmd/batch_save.c
+++ b/cmd/batch_save.c
@@ -52,7 +52,7 @@
 
 static void put_next (save_t *save);
 
-/* Decodes the value of the head. Returns FALSE when it has another form. */
+/* Decodes the value of the head. Returns FALSE and logs it when it has another form. */
 static gboolean
 read_head (const void *value, size_t bytes, head_t *head)
 {
@@ -60,9 +60,17 @@
   int fields = sscanf (text, "%c %u %zu %" SCNx64, &head->set, // NOLINT
                        &head->n_chunks, &head->bytes, &head->checksum);
 
+  gboolean valid = fields >= 3 && (head->set == 'a' || head->set == 'b');
+
   head->has_checksum = fields == 4;
   g_free (text);
-  return fields >= 3 && (head->set == 'a' || head->set == 'b');
+  if (!valid)
+    {
+      cb_event_unlimited (CB_LOG_ERROR, "entry", "snapshot_head_unreadable",
+                          "bytes=%zu", bytes);
+      *head = (head_t){ .set = '-' };
+    }
+  return valid;
 }
 
 static void
@@ -78,8 +86,7 @@
   /* A failed write has the same event name, with stored=0. */
   cb_event (stored ? CB_LOG_INFO : CB_LOG_WARN, "entry", "snapshot_written",
             "next=%" PRIu64 " set=%c chunks=%u bytes=%zu stored=%d", save->next_offset,
-            save->head.set == 0 ? '-' : save->head.set, save->head.n_chunks,
-            save->head.bytes, stored);
+            save->head.set, save->head.n_chunks, save->head.bytes, stored);
   if (save->data != NULL)
     g_bytes_unref (save->data);
   g_free (save);
@@ -138,11 +145,12 @@
   Cb__BatchSnapshot *snapshot;
   head_t present = { .set = 'b' };
 
-  (void)more;
   for (size_t i = 0; err == CB_OK && i < count; i++)
     if (strcmp (items[i].key, HEAD_KEY) == 0 && items[i].value != NULL)
       read_head (items[i].value, items[i].value_bytes, &present);
-  if (err < 0 || entry->own_epoch == 0)
+  /* With MORE, the head may be on a later page: the topic has keys of another writer.
+   */
+  if (err < 0 || more || entry->own_epoch == 0)
     {
       finish_save (save, FALSE);
       return;
@@ -179,6 +187,7 @@
     return;
   save = g_new0 (save_t, 1);
   save->entry = entry;
+  save->head.set = '-';
   entry->writing_snapshot = TRUE;
   cb_store_read_newest (entry->store, SNAPSHOT_TOPIC, BEFORE_HEAD_KEY, on_head, save);
 }
@@ -233,7 +242,7 @@
 {
   GBytes *value = g_hash_table_lookup (load->items, HEAD_KEY);
   GByteArray *bytes = g_byte_array_new ();
-  head_t head = { 0 };
+  head_t head = { .set = '-' };
 
   if (value != NULL &&
       read_head (g_bytes_get_data (value, NULL), g_bytes_get_size (value), &head))
