Split the tests of the users' platform by what fails

test/platform_site_test.cc had 901 lines and three jobs: a site that works, workers and their messages, and a store that does not answer.

--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -7,6 +7,9 @@
 
 #include <jansson.h>
 
+#include <algorithm>
+#include <sstream>
+
 #include "test/port.h"
 #include "test/processes.h"
 
@@ -373,6 +376,29 @@
   }
 };
 
+// Returns the sum of the samples of metric NAME in METRICS whose labels contain LABEL,
+// or -1 when there is none.
+inline double
+SumSamples (const std::string &metrics, const std::string &name,
+            const std::string &label = "")
+{
+  std::istringstream lines (metrics);
+  std::string line;
+  double sum = -1;
+
+  while (std::getline (lines, line))
+    {
+      size_t end = line.find_last_of (' ');
+      std::string series = line.substr (0, end);
+
+      if (series.substr (0, series.find ('{')) != name ||
+          series.find (label) == std::string::npos)
+        continue;
+      sum = std::max (sum, 0.0) + std::stod (line.substr (end));
+    }
+  return sum;
+}
+
 } // namespace site
 
 #endif
--- /dev/null
+++ b/test/platform_worker_test.cc
@@ -0,0 +1,243 @@
+// Checks real entries and agents, with stand-ins for the users' platform, in what they
+// know of workers: which one is there, what it runs, and which runs have ended, despite
+// restarts, delayed messages and messages of other writers.
+#include <ctime>
+
+#include "test/platform_site.h"
+
+using site::PlatformSite;
+
+namespace
+{
+
+TEST (PlatformSite, RestartedAgentDoesNotDisturbRunningTasks)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 3000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "running"; }));
+  site.Kill ("agent0");
+  site.StartAgent (0);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+  EXPECT_EQ (site.Ends (1, "lapsed"), 0);
+  site.CheckRuns ();
+}
+
+TEST (PlatformSite, RestartedWorkerRunsItsTasksAgain)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 1500")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "running"; }));
+  site.Kill ("runner0");
+  site.StartRunner (0);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+}
+
+// Guards against a second run of a task that a restarted worker completed before its
+// first heartbeat: the agent took the new process for the earlier one, whose ends had
+// higher numbers, and acknowledged the end without having read it (review/4).
+TEST (PlatformSite, TaskDoneBeforeTheFirstHeartbeatOfARestartedWorkerIsDone)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (8, 1, "run 800")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.AcknowledgedEnds (1, "done") == 8; }));
+  site.Kill ("runner0");
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (1, 8, "run 100")).status, 200);
+  ASSERT_TRUE (
+      site.Until ([&] { return site.Logged ("agent0", "event=start_failed"); }));
+  site.StartRunner (0, 1500);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (2, "done"), 1);
+  site.CheckRuns ();
+}
+
+// Guards against a second run of tasks whose ends a worker has not listed yet when a
+// new scheduler takes over: a list holds 500 ends, and more end meanwhile (review/2).
+TEST (PlatformSite, EndsBeyondTheFirstListAreReadAfterATakeover)
+{
+  PlatformSite site (2, 1);
+  int scheduler;
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 1, site.SmallTasks (900, "run 2000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.Starts (1) == 900; }));
+  scheduler = site.Scheduler ();
+  site.Signal ("entry0", SIGSTOP);
+  site.Signal ("entry1", SIGSTOP);
+  ASSERT_TRUE (site.Until ([&] { return site.Ends (1, "done") == 900; }));
+  site.Kill ("entry" + std::to_string (scheduler));
+  site.Signal ("entry" + std::to_string (1 - scheduler), SIGCONT);
+  EXPECT_TRUE (
+      site.Until ([&] { return site.State (1 - scheduler, 1, 1) == "completed"; }));
+  EXPECT_EQ (site.Starts (1), 900);
+  site.CheckRuns ();
+}
+
+// Guards against an agent that ends, or stops following its worker, after odd
+// heartbeats of another writer for the same worker.
+TEST (PlatformSite, OddHeartbeatsDoNotDisturbAnAgent)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  for (const std::string &odd :
+       { std::string (200000, '['), std::string (1, '\0'), std::string ("\xff\xfe"),
+         std::string (
+             "{\"service\":\"svc\",\"address\":\"127.0.0.1:70000\",\"state\":"
+             "\"ready\",\"capacity\":{\"cpu\":64000,\"memMb\":131072,\"gpu\":8},"
+             "\"seq\":1e18,\"born\":9007199254740991}"),
+         std::string ("{\"service\":\"svc\",\"address\":\"127.0.0.1:1\",\"state\":"
+                      "\"ready\",\"capacity\":{\"cpu\":99999999999999999999999},"
+                      "\"seq\":9,\"born\":1}") })
+    EXPECT_EQ (
+        site.Call (site.controls[0], "POST", "/api/instances/w0/heartbeat", odd).status,
+        400);
+  // The agent has no worker yet when it starts; an empty id must not pass for that.
+  site.Kill ("runner0");
+  site.Kill ("agent0");
+  site.StartAgent (0);
+  ASSERT_TRUE (site.Until ([&] {
+    return site.Call (site.controls[0], "POST", "/api/instances/w0/leave").status ==
+           200;
+  }));
+  for (const std::string &id : { std::string (), std::string (1000, 'w') })
+    EXPECT_EQ (site.Call (site.controls[0], "POST",
+                          "/api/instances/" + id + "/heartbeat",
+                          "{\"service\":\"svc\",\"address\":\"127.0.0.1:1\","
+                          "\"state\":\"ready\",\"capacity\":{\"cpu\":64000,"
+                          "\"memMb\":131072,\"gpu\":8},\"seq\":1}")
+                   .status,
+               404);
+  site.StartRunner (0);
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 8, "run 100")).status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 1);
+}
+
+// Guards against an agent that drops its worker, so that running tasks start a second
+// time elsewhere, for one that only a heartbeat of another writer has announced: nobody
+// listens at its address, or the worker there has another id or start time.
+TEST (PlatformSite, AnnouncedWorkerIsUsedOnlyIfItResponds)
+{
+  PlatformSite site (1, 2);
+  auto heartbeat = [&] (const std::string &id, const std::string &address) {
+    EXPECT_EQ (site.Call (site.controls[0], "POST",
+                          "/api/instances/" + id + "/heartbeat",
+                          "{\"service\":\"odd\",\"address\":\"" + address +
+                              "\",\"state\":\"ready\",\"capacity\":{\"cpu\":64000,"
+                              "\"memMb\":131072,\"gpu\":8},\"seq\":1,\"born\":" +
+                              std::to_string (time (nullptr) * 1000 + 60000) + "}")
+                   .status,
+               200);
+  };
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 1, site.Job (2, 8, "run 2000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.Starts (1) == 2; }));
+  heartbeat ("zz-odd", FreeAddress ());
+  heartbeat ("zz-odd", site.runners[0]);
+  heartbeat ("w0", site.runners[0]);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
+  EXPECT_EQ (site.Starts (1), 2);
+  EXPECT_FALSE (site.Logged ("agent0", "event=worker_lost"));
+  site.CheckRuns ();
+}
+
+// Guards against a second run of tasks after a delayed notice that their worker shuts
+// down, which its earlier process has sent.
+TEST (PlatformSite, NoticeOfAnEarlierIncarnationIsIgnored)
+{
+  PlatformSite site (1, 2);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 1, site.Job (2, 8, "run 2000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.Starts (1) == 2; }));
+  EXPECT_EQ (
+      site.Call (site.controls[0], "POST", "/api/instances/w0/leave", "{\"born\":1}")
+          .status,
+      200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
+  EXPECT_EQ (site.Starts (1), 2);
+  site.CheckRuns ();
+}
+
+// Guards against starts without the advisor's ticket, which workers reject, and against
+// steps that never start after the advisor was busy.
+TEST (PlatformSite, StepOfAnAdvisedQueueRunsOnTheAllowedWorkers)
+{
+  PlatformSite site (1, 3, false, 300, "w2");
+
+  ASSERT_TRUE (site.Up ());
+  site.Control (site.advisor, "{\"mode\":\"busy\",\"count\":2}");
+  EXPECT_EQ (site.Submit (0, 1, 1, site.Job (2, 4, "run 300")).status, 200);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
+  EXPECT_EQ (site.Ends (1, "done"), 2);
+  std::ifstream trace (site.Dir () + "/runner2.trace");
+  std::string text ((std::istreambuf_iterator<char> (trace)),
+                    std::istreambuf_iterator<char> ());
+  EXPECT_EQ (site.Count (text, "\"run_start\""), 2);
+  EXPECT_EQ (site.Count (site.Call (site.metrics[0], "GET", "/metrics").body,
+                         "advice_calls_total{result=\"answered\"} 1\n"),
+             1);
+}
+
+// Guards against tasks that use a worker's spare CPU and keep the response times of a
+// serving task on the same worker above their target.
+TEST (PlatformSite, FillingTaskIsSlowedDownBesideAServingTask)
+{
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  std::string serving = site.Job (1, 1, "serve 60000");
+  std::string filling = site.Job (1, 1, "fill 60000");
+  serving.insert (serving.size () - 3, ",\"daemon\":true,\"targetMs\":50");
+  filling.insert (filling.size () - 3, ",\"fills\":true");
+  EXPECT_EQ (site.Submit (0, 1, 0, serving).status, 200);
+  EXPECT_EQ (site.Submit (0, 2, 0, filling).status, 200);
+  EXPECT_TRUE (site.Until ([&] {
+    std::ifstream trace (site.Dir () + "/runner0.trace");
+    std::string text ((std::istreambuf_iterator<char> (trace)),
+                      std::istreambuf_iterator<char> ());
+    return site.Count (text, "\"ev\":\"pace\"") > 0 &&
+           text.find ("\"percent\":0") != std::string::npos;
+  }));
+  site.CheckRuns ();
+}
+
+// Guards against a new scheduler that can place tasks on only a part of the workers,
+// because agents still wait for the response to a call under the previous epoch: 0.3 s
+// after most takeovers only 6 to 9 of 11 workers were known.
+TEST (PlatformSite, NewSchedulerGetsTheReportsOfAllWorkersAtOnce)
+{
+  PlatformSite site (2, 3);
+
+  ASSERT_TRUE (site.Up ());
+  ASSERT_TRUE (site.Until ([&] { return site.Scheduler () >= 0; }));
+  int old = site.Scheduler ();
+  EXPECT_EQ (site.Submit (old, 1, 0, site.Job (3, 8, "run 5000", true)).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (old, 1, 0) == "running"; }));
+  /* The next call for each worker's lists gets no response. */
+  for (const auto &runner : site.runners)
+    site.Control (runner, "{\"mode\":\"silent\",\"count\":1}");
+  site.Pause (500);
+  EXPECT_EQ (site.Terminate ("entry" + std::to_string (old)), 0);
+  ASSERT_TRUE (site.Until ([&] { return site.Scheduler () == 1 - old; }));
+  std::string event;
+  EXPECT_TRUE (site.Until ([&] {
+    std::ifstream log (site.Dir () + "/entry" + std::to_string (1 - old) + ".log");
+    for (std::string line; event.empty () && std::getline (log, line);)
+      if (line.find ("event=settled") != std::string::npos)
+        event = line;
+    return !event.empty ();
+  }));
+  EXPECT_NE (event.find ("workers=3 expected=3"), std::string::npos) << event;
+}
+
+} // namespace
