Bound the calls that an agent makes to its worker at a time

What callers saw: a job of 6,000 small tasks ran up to 23,430 times TWICE and did not end, beside load (many_tasks 6000, 14 busy processes on 8 cores).

Cause: the agent made a call for each start at once. The worker was so busy with thousands of connections that it ended its runs late and broke its lease, while the scheduler took them as lost; the next worker got all of them. By the worker's trace no run ended for 7 s.

Change: at most 64 calls are under way; stops come first, starts in the order of the message. When half of them are answered, the next ones follow without waiting for a tick.

--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -42,7 +42,7 @@
                           "scheduler=%s epoch=%" PRIu64 " earlier=%" PRIu64, peer,
                           envelope->epoch, agent->epoch);
       agent->epoch = envelope->epoch;
-      g_hash_table_remove_all (agent->commands);
+      cb_batch_agent_drop_commands (agent);
     }
   if (agent->scheduler == NULL || strcmp (agent->scheduler, peer) != 0)
     {
@@ -147,7 +147,7 @@
   agent.store = cb_store_new (agent.loop, settings->store_address);
   agent.counters = cb_counters_new ();
   agent.report = cb_msg_new (&cb__worker_report__descriptor);
-  agent.commands = cb_batch_agent_commands_new ();
+  cb_batch_agent_commands_init (&agent);
   agent.last_commands_ms = cb_batch_now_ms () - REGISTER_SILENCE_MS - 1;
   agent.registration_ms = agent.last_commands_ms;
   agent.registration_pause_ms = REGISTER_SILENCE_MS;
--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -50,6 +50,8 @@
                                 may drop them */
   uint64_t acknowledged_end; /* the worker has been told to drop ends up to this one */
   GHashTable *commands;      /* key -> command_t of batch_agent_orders.c */
+  GPtrArray *command_order;  /* of the same command_t, in the order of sending */
+  uint32_t calls_under_way;  /* of commands */
   gboolean poll_pending;     /* a call for the worker's lists is under way */
   uint64_t poll_epoch;       /* under which the latest such call was made */
   uint64_t poll_durable_end; /* last_durable_end when it was made */
@@ -62,7 +64,8 @@
 G_BEGIN_DECLS
 
 /* batch_agent_orders.c */
-GHashTable *cb_batch_agent_commands_new (void);
+void cb_batch_agent_commands_init (cb_batch_agent_t *agent);
+void cb_batch_agent_drop_commands (cb_batch_agent_t *agent);
 void cb_batch_agent_resolve_commands (cb_batch_agent_t *agent, uint64_t poll_number);
 void cb_batch_agent_send_commands (cb_batch_agent_t *agent);
 void cb_batch_agent_set_commands (cb_batch_agent_t *agent,
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -5,6 +5,13 @@
 
 #include "cmd/batch_agent.h"
 
+/* Largest number of calls of commands to the worker at a time, each on a connection of
+   its own. */
+#define CALLS_MAX 64
+/* With this many calls left, further commands are sent without waiting for the next
+   tick. */
+#define CALLS_REFILL (CALLS_MAX / 2)
+
 typedef enum
 {
   COMMAND_OPEN,     /* has to be sent, or sent again */
@@ -35,7 +42,8 @@
    rate of work to which it is limited. */
 typedef struct
 {
-  cb_batch_agent_t *agent; /* NULL: withdrawn; freed when the worker replies */
+  cb_batch_agent_t *agent;
+  gboolean withdrawn; /* freed when the worker replies */
   char *key;
   command_kind_t kind;
   Cb__TaskRun *run;
@@ -55,7 +63,7 @@
 
   if (command->state == COMMAND_SENT)
     {
-      command->agent = NULL;
+      command->withdrawn = TRUE;
       return;
     }
   cb_msg_free (command->run);
@@ -65,11 +73,20 @@
   g_free (command);
 }
 
-/* Returns an empty set of commands; freed with g_hash_table_unref. */
-GHashTable *
-cb_batch_agent_commands_new (void)
+/* Gives AGENT an empty set of commands. */
+void
+cb_batch_agent_commands_init (cb_batch_agent_t *agent)
 {
-  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_command);
+  agent->commands = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_command);
+  agent->command_order = g_ptr_array_new ();
+}
+
+/* Withdraws all commands of AGENT. */
+void
+cb_batch_agent_drop_commands (cb_batch_agent_t *agent)
+{
+  g_ptr_array_set_size (agent->command_order, 0);
+  g_hash_table_remove_all (agent->commands);
 }
 
 static void
@@ -143,7 +160,8 @@
   cb_batch_agent_t *agent = command->agent;
 
   command->state = COMMAND_OPEN;
-  if (agent == NULL)
+  agent->calls_under_way--;
+  if (command->withdrawn)
     {
       free_command (command);
       return;
@@ -160,6 +178,8 @@
     agent->fenced_epoch = MAX (agent->fenced_epoch, agent->epoch);
   if (err < 0)
     log_failure (command, err, reason);
+  if (agent->calls_under_way == CALLS_REFILL)
+    cb_batch_agent_send_commands (agent);
 }
 
 /* Sends COMMAND to the worker. A start for a draining worker is refused here instead;
@@ -183,6 +203,7 @@
         }
       return;
     }
+  agent->calls_under_way++;
   command->state = COMMAND_SENT;
   command->tried = TRUE;
   command->sent_ms = cb_batch_now_ms ();
@@ -194,22 +215,21 @@
     cb_worker_start (agent->loop, &target, command->start, on_worker_reply, command);
 }
 
-/* Sends the open commands whose retry pause is over, but starts only after a scheduler
-   has granted a lease. Sends nothing when the worker has refused the current epoch. */
+/* Sends the open commands whose retry pause is over, in their order and at most
+   CALLS_MAX at a time, but starts only after a scheduler has granted a lease. Sends
+   nothing when the worker has refused the current epoch. */
 void
 cb_batch_agent_send_commands (cb_batch_agent_t *agent)
 {
-  GHashTableIter iter;
-  gpointer value;
   cb_msec_t now_ms = cb_batch_now_ms ();
 
   if (!cb_batch_agent_has_worker (agent) || agent->epoch == 0 ||
       agent->fenced_epoch >= agent->epoch)
     return;
-  g_hash_table_iter_init (&iter, agent->commands);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < agent->command_order->len && agent->calls_under_way < CALLS_MAX;
+       i++)
     {
-      command_t *command = value;
+      command_t *command = agent->command_order->pdata[i];
 
       if (command->state == COMMAND_OPEN && now_ms >= command->retry_ms &&
           (command->kind != KIND_START || agent->lease_until_ms > 0))
@@ -217,9 +237,9 @@
     }
 }
 
-/* Adds a command unless the agent already has it, and its key to the set WANTED.
-   PERCENT distinguishes the pace commands of a run; 0 for other kinds. Returns the new
-   command, or NULL. */
+/* Adds a command unless the agent already has it, appends it to the order of sending,
+   and adds its key to the set WANTED. PERCENT distinguishes the pace commands of a run;
+   0 for other kinds. Returns the new command, or NULL. */
 static command_t *
 add_command (cb_batch_agent_t *agent, GHashTable *wanted, command_kind_t kind,
              const Cb__TaskRun *run, uint32_t percent)
@@ -233,6 +253,7 @@
   if (command != NULL)
     {
       g_free (key);
+      g_ptr_array_add (agent->command_order, command);
       return NULL;
     }
   command = g_new0 (command_t, 1);
@@ -241,6 +262,7 @@
   command->kind = kind;
   command->run = (Cb__TaskRun *)cb_msg_copy (&run->base);
   g_hash_table_insert (agent->commands, command->key, command);
+  g_ptr_array_add (agent->command_order, command);
   return command;
 }
 
@@ -269,9 +291,10 @@
   return !g_hash_table_contains (wanted, key);
 }
 
-/* Takes over the commands of a scheduler's message and its lease, if that ends later
-   than the present lease. Withdraws the commands that the message does not contain and
-   sends all that are due. Ignores a message for another worker or incarnation. */
+/* Takes over the commands of a scheduler's message, to be sent in its order but stops
+   first, and its lease, if that ends later than the present lease. Withdraws the
+   commands that the message does not contain and sends all that are due. Ignores a
+   message for another worker or incarnation. */
 void
 cb_batch_agent_set_commands (cb_batch_agent_t *agent, const Cb__WorkerOrders *message)
 {
@@ -289,10 +312,11 @@
   agent->lease_until_ms = MAX (agent->lease_until_ms, message->lease_until_ms);
   agent->last_durable_end = MAX (agent->last_durable_end, message->last_seen);
   wanted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  for (size_t i = 0; i < message->n_starts; i++)
-    add_start (agent, wanted, message->starts[i]);
+  g_ptr_array_set_size (agent->command_order, 0);
   for (size_t i = 0; i < message->n_stops; i++)
     add_command (agent, wanted, KIND_STOP, message->stops[i], 0);
+  for (size_t i = 0; i < message->n_starts; i++)
+    add_start (agent, wanted, message->starts[i]);
   for (size_t i = 0; i < message->n_paces; i++)
     add_pace (agent, wanted, message->paces[i]);
   g_hash_table_foreach_remove (agent->commands, is_unwanted, wanted);
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -88,7 +88,7 @@
   agent->acknowledged_end = 0;
   agent->reported_end = 0;
   agent->lists_epoch = 0;
-  g_hash_table_remove_all (agent->commands);
+  cb_batch_agent_drop_commands (agent);
 }
 
 /* Returns the number of the newest end in LISTS; 0: there is none. */
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -295,6 +295,7 @@
     return;
   if (cb_fake_use_mode (&r->fake, "silent"))
     {
+      cb_fake_event (&r->fake, "no_reply", "\"path\":\"%s\"", path);
       cb_http_no_reply (req);
       return;
     }
--- a/test/platform_site.h
+++ b/test/platform_site.h
@@ -316,6 +316,21 @@
   {
     return CountEvents (id, "run_end", how);
   }
+  // Returns the times in ms of the events EVENT with TEXT in the trace of process NAME.
+  std::vector<int64_t>
+  EventTimes (const std::string &name, const std::string &event,
+              const std::string &text)
+  {
+    std::ifstream f (dir_ + "/" + name + ".trace");
+    std::vector<int64_t> times_ms;
+    std::string line;
+
+    while (std::getline (f, line))
+      if (line.find ("\"ev\":\"" + event + "\"") != std::string::npos &&
+          line.find (text) != std::string::npos)
+        times_ms.push_back (strtoll (line.c_str () + strlen ("{\"t\":"), nullptr, 10));
+    return times_ms;
+  }
   // Returns how many runs of the job's tasks have started.
   int
   Starts (int id)
--- a/test/platform_worker_test.cc
+++ b/test/platform_worker_test.cc
@@ -80,6 +80,31 @@
   site.CheckRuns ();
 }
 
+// Guards against an agent that opens a connection for each start at once: a worker with
+// thousands of tasks was busy with them, ended its runs late and broke its lease.
+TEST (PlatformSite, CallsToAWorkerAreBounded)
+{
+  constexpr size_t kCallsMax = 64;
+  PlatformSite site (1, 1);
+  std::vector<int64_t> times_ms;
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 2, 1, site.Job (1, 1, "run 50")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 2, 1) == "completed"; }));
+  site.Control (site.runners[0], "{\"mode\":\"silent\"}");
+  EXPECT_EQ (site.Submit (0, 1, 1, site.SmallTasks (300, "run 50")).status, 200);
+  ASSERT_TRUE (site.Until ([&] {
+    times_ms = site.EventTimes ("runner0", "no_reply", "/api/run-start");
+    return times_ms.size () >= 3 * kCallsMax;
+  }));
+  // A call is given up after 900 ms.
+  for (size_t i = kCallsMax; i < times_ms.size (); i++)
+    EXPECT_GE (times_ms[i] - times_ms[i - kCallsMax], 800);
+  site.Control (site.runners[0], "{\"mode\":\"ok\"}");
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
+  site.CheckRuns ();
+}
+
 // Guards against an agent that ends, or stops following its worker, after odd
 // heartbeats of another writer for the same worker.
 TEST (PlatformSite, OddHeartbeatsDoNotDisturbAnAgent)
