Bound the starts in a message to an agent, urgent ones first

Cause: each message had all starts of a worker that its reports did not show yet, 6,000 in many_tasks, and was sent with each report. The agent handled them instead of renewing the lease, was silent for 3 s, and some 1,800 tasks were started again.

Change: at most 1,000 starts a message, those of urgent jobs first; the others follow once a report shows these.

--- a/batch/orders.c
+++ b/batch/orders.c
@@ -5,6 +5,9 @@
 /* A lease is renewed when the worker's clock has advanced by this time since the last
    renewal. */
 #define LEASE_RENEWAL_MS 400
+/* Largest number of starts in a message to an agent, so that a worker with thousands of
+   new runs gets its lease in time. The others follow once reports show these. */
+#define STARTS_MAX 1000
 
 /* Returns TRUE once after the commands for AGENT's worker changed in a way that should
    not wait for its next report. */
@@ -73,6 +76,22 @@
   cb_msg_append ((void ***)&commands->starts, &commands->n_starts, start);
 }
 
+/* Adds the starts of W's runs that its reports do not show yet, up to STARTS_MAX, those
+   of urgent jobs first. */
+static void
+add_starts (Cb__WorkerOrders *commands, const worker_t *w)
+{
+  for (int urgent = 1; urgent >= 0; urgent--)
+    for (guint i = 0; i < w->tasks->len && commands->n_starts < STARTS_MAX; i++)
+      {
+        const task_t *task = w->tasks->pdata[i];
+
+        if (task->state == TASK_STARTED && !task->stop_requested && !task->reported &&
+            !task->proposed_end && (task->job->spec->priority == 0) == urgent)
+          add_start (commands, task);
+      }
+}
+
 /* Adds stops of the runs of earlier incarnations of W, whose start commands W may have
    executed. */
 static void
@@ -127,14 +146,12 @@
     {
       const task_t *task = w->tasks->pdata[i];
 
-      if (task->state != TASK_STARTED)
-        continue;
-      if (task->stop_requested)
+      if (task->state == TASK_STARTED && task->stop_requested)
         cb_msg_append ((void ***)&commands->stops, &commands->n_stops,
                        task_run_new (task, task->run));
-      else if (!task->reported && !task->proposed_end && !w->ended_partial)
-        add_start (commands, task);
     }
+  if (!w->ended_partial)
+    add_starts (commands, w);
   pace_add_commands (w, commands);
   add_stops_of_predecessors (b, commands, w);
   for (guint i = 0; i < w->unwanted_runs->len; i++)
--- a/test/batch_size_test.cc
+++ b/test/batch_size_test.cc
@@ -128,6 +128,26 @@
   EXPECT_EQ (sim.Status ("j"), CB_JOB_COMPLETED);
 }
 
+// Guards against messages to an agent that grow with the runs that its worker has not
+// reported yet, and against an urgent task that waits behind them.
+TEST (BatchSize, MessageToAnAgentIsBoundedAndStartsUrgentWorkFirst)
+{
+  BatchSimulation sim (1, 1);
+  Cb__WorkerOrders *commands;
+
+  sim.workers[0]->reachable = false;
+  sim.Submit ("many", 1, { { 2500, 0, 10 } });
+  sim.Submit ("urgent", 0, { { 1, 8 } });
+  sim.Advance (200);
+  commands = cb_batch_build_commands (sim.primary, "a0", TRUE, sim.now);
+  EXPECT_EQ (commands->n_starts, 1000u);
+  EXPECT_STREQ (commands->starts[0]->run->job, "urgent");
+  cb_msg_free (commands);
+  sim.workers[0]->reachable = true;
+  sim.Advance (5000);
+  EXPECT_EQ (sim.done.size (), 2501u);
+}
+
 // Guards against a takeover on a large fleet that places work on the first workers that
 // report, or waits for those that never do.
 TEST (BatchSize, TakeoverUnderLoadGoesOn)
