--- a/review/standin-2/harness.hpp
+++ b/review/standin-2/harness.hpp
@@ -344,17 +344,34 @@
   {
     handler_ = handler;
     address = at.empty () ? FreeAddress () : at;
+    Open ();
+  }
+  /* Listens again at the same address. */
+  void
+  Open ()
+  {
     fd_ = Listen (address);
-    std::thread ([this] { Accept (); }).detach ();
+    std::thread ([this, fd = fd_.load ()] { Accept (fd); }).detach ();
+  }
+  /* Ends all connections; new ones are refused. */
+  void
+  Close ()
+  {
+    Lock lock (mutex_);
+
+    shutdown (fd_, SHUT_RDWR);
+    close (fd_);
+    for (int fd : open_)
+      shutdown (fd, SHUT_RDWR);
   }
 
 private:
   void
-  Accept ()
+  Accept (int listener)
   {
     for (;;)
       {
-        int fd = accept4 (fd_, nullptr, nullptr, SOCK_CLOEXEC);
+        int fd = accept4 (listener, nullptr, nullptr, SOCK_CLOEXEC);
 
         if (fd < 0)
           return;
@@ -367,6 +384,11 @@
     std::string buffer;
     Message message;
 
+    {
+      Lock lock (mutex_);
+      open_.insert (fd);
+    }
+
     while (ReadMessage (fd, buffer, message, 3600000))
       {
         size_t a = message.start.find (' ');
@@ -383,10 +405,14 @@
                                reply.body))
           break;
       }
+    Lock lock (mutex_);
+    open_.erase (fd);
     close (fd);
   }
   Handler handler_;
-  int fd_ = -1;
+  std::mutex mutex_;
+  std::set<int> open_;
+  std::atomic<int> fd_ = { -1 };
 };
 
 /* A network path: relays connections to TO. After Silence, the connections that are open
@@ -699,9 +725,15 @@
     std::thread ([this, heartbeat_ms] {
       while (!dead)
         {
-          if (!down_)
-            Heartbeat (++seq_);
-          SleepMs (heartbeat_ms);
+          if (down_ || NowMs () < silent_until_ms_)
+            {
+              SleepMs (10);
+              continue;
+            }
+          Heartbeat (++seq_);
+          for (int64_t due_ms = NowMs () + heartbeat_ms;
+               NowMs () < due_ms && NowMs () >= silent_until_ms_ && !down_;)
+            SleepMs (10);
         }
     }).detach ();
     std::thread ([this] {
@@ -716,8 +748,10 @@
   /* The runner crashes, and starts again under its id after DOWN_MS: it then holds and
      knows nothing of before, and its counts start anew. */
   void
-  Restart (int64_t down_ms)
+  Restart (int64_t down_ms, const std::string &new_kind = "",
+           int64_t first_heartbeat_ms = 0)
   {
+    server.Close ();
     {
       Lock lock (mutex_);
 
@@ -732,12 +766,20 @@
       changed_.notify_all ();
     }
     SleepMs (down_ms);
-    Lock lock (mutex_);
-    born_ms_ = WallMs ();
-    start_ms_ = NowMs ();
-    seq_ = 0;
+    {
+      Lock lock (mutex_);
+
+      born_ms_ = WallMs ();
+      start_ms_ = NowMs ();
+      seq_ = 0;
+      if (!new_kind.empty ())
+        kind = new_kind;
+      LOG ("runner %s has started again under its id, of kind %s", id.c_str (),
+           kind.c_str ());
+    }
     down_ = false;
-    LOG ("runner %s has started again under its id", id.c_str ());
+    server.Open ();
+    silent_until_ms_ = NowMs () + first_heartbeat_ms;
   }
   int64_t
   BornMs () const
@@ -944,6 +986,7 @@
   int64_t last_end_ = 0, fence_ = 0, lease_ms_ = 0;
   int64_t hold_max_ms_ = 0, born_ms_ = 0, start_ms_ = 0, seq_ = 0;
   int life_ = 0;
+  std::atomic<int64_t> silent_until_ms_ = { 0 };
   std::atomic<bool> down_ = { false };
 };
 
