Say in job_idle whether a job waits for a rack, a reserve or trust

Whether the gang waits for one rack, for workers reserved for urgent work or for trust could not be told.

Change: the reason is found by the searches that placement makes, for the whole gang: held, reserved, untrusted, rack, or no_room. No decision changes.

--- a/batch/dat.h
+++ b/batch/dat.h
@@ -155,7 +155,10 @@
   CB_WAIT_GANG,          /* other members of its gang are not free yet */
   CB_WAIT_ADVICE,        /* its step is advised */
   CB_WAIT_NO_WORKER,     /* no usable worker suits it */
-  CB_WAIT_NO_ROOM,       /* no usable worker that suits it has room */
+  CB_WAIT_NO_ROOM,       /* no usable workers that suit it have room */
+  CB_WAIT_RACK,          /* its gang has room on several racks, but not on one */
+  CB_WAIT_RESERVED,      /* there is room on workers reserved for more urgent work */
+  CB_WAIT_UNTRUSTED,     /* there is room on workers that failed runs */
   CB_WAIT_HELD,          /* it could be placed */
 } cb_batch_wait_reason_t;
 
--- a/batch/local.h
+++ b/batch/local.h
@@ -403,6 +403,13 @@
 gboolean worker_holds (const worker_t *w, const Cb__BatchStep *step);
 gboolean capacity_allows (const capacity_t *capacity, const task_t *task,
                           uint32_t n_chosen);
+gboolean prefers_one_rack (const Cb__BatchStep *step, uint32_t count);
+gboolean fit_one_rack (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
+                       capacity_t **chosen);
+gboolean fit_any_rack (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
+                       capacity_t **chosen);
+gboolean has_room (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
+                   gboolean one_rack);
 gboolean fit_step (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
                    capacity_t **chosen);
 
--- a/batch/misses.c
+++ b/batch/misses.c
@@ -20,12 +20,6 @@
   gboolean too_costly; /* preemption was possible, but destroyed too much work */
 } miss_t;
 
-static gboolean
-keeps_one_rack (const Cb__BatchStep *step, uint32_t count)
-{
-  return step->same_rack && count > 1;
-}
-
 static gboolean
 same_size (const Cb__BatchStep *a, const Cb__BatchStep *b)
 {
@@ -56,8 +50,8 @@
       (missed->gang && !step->gang))
     return FALSE;
   /* A larger group may be allowed to use several racks where a smaller one is not. */
-  if (keeps_one_rack (missed, miss->count))
-    return keeps_one_rack (step, count) && count == miss->count &&
+  if (prefers_one_rack (missed, miss->count))
+    return prefers_one_rack (step, count) && count == miss->count &&
            same_size (step, missed);
   return count >= miss->count && needs_as_much (step, missed);
 }
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -432,7 +432,7 @@
 
   request->candidates = g_array_new (FALSE, FALSE, sizeof (candidate_t));
   *looked_at += pass->capacities->len;
-  if (!task_spec (tasks[0])->same_rack || count < 2)
+  if (!prefers_one_rack (task_spec (tasks[0]), count))
     best = make_plan (request, pass->capacities, tasks, count, chosen, preempted);
   else
     for (guint i = 0; i < pass->racks->len; i++)
--- a/batch/waits.c
+++ b/batch/waits.c
@@ -23,6 +23,9 @@
   [CB_WAIT_ADVICE] = "advice",
   [CB_WAIT_NO_WORKER] = "no_worker",
   [CB_WAIT_NO_ROOM] = "no_room",
+  [CB_WAIT_RACK] = "rack",
+  [CB_WAIT_RESERVED] = "reserved",
+  [CB_WAIT_UNTRUSTED] = "untrusted",
   [CB_WAIT_HELD] = "held",
 };
 
@@ -58,23 +61,45 @@
   return FALSE;
 }
 
-/* TRUE when a worker of CAPACITIES suits TASK; with ROOM, only one with free
-   capacity. */
+/* TRUE when a worker of CAPACITIES suits TASK and is large enough for it. */
 static gboolean
-has_worker (const GPtrArray *capacities, const task_t *task, gboolean room)
+has_worker (const GPtrArray *capacities, const task_t *task)
 {
   for (guint i = 0; i < capacities->len; i++)
     {
-      const capacity_t *capacity = capacities->pdata[i];
+      const worker_t *w = ((const capacity_t *)capacities->pdata[i])->worker;
 
-      if (worker_suits (capacity->worker, task) &&
-          worker_holds (capacity->worker, task_spec (task)) &&
-          (!room || capacity_fits (capacity, task_spec (task))))
+      if (worker_suits (w, task) && worker_holds (w, task_spec (task)))
         return TRUE;
     }
   return FALSE;
 }
 
+/* Returns why TASK, or its gang, is not placed in the free capacity. */
+static cb_batch_wait_reason_t
+reason_of_placement (pass_t *pass, task_t *task)
+{
+  const Cb__BatchStep *spec = task_spec (task);
+  step_state_t *step = task_step (task);
+  uint32_t count = spec->gang ? step->count : 1;
+  gboolean one_rack = prefers_one_rack (spec, count);
+  task_t **tasks = g_new0 (task_t *, count);
+  cb_batch_wait_reason_t reason = CB_WAIT_NO_ROOM;
+
+  for (uint32_t i = 0; i < count; i++)
+    tasks[i] = spec->gang ? &step->tasks[i] : task;
+  if (has_room (pass, tasks, count, REACH_SHARED, one_rack))
+    reason = CB_WAIT_HELD;
+  else if (has_room (pass, tasks, count, REACH_RESERVED, one_rack))
+    reason = CB_WAIT_RESERVED;
+  else if (has_room (pass, tasks, count, REACH_ALL, one_rack))
+    reason = CB_WAIT_UNTRUSTED;
+  else if (one_rack && has_room (pass, tasks, count, REACH_ALL, FALSE))
+    reason = CB_WAIT_RACK;
+  g_free (tasks);
+  return reason;
+}
+
 static cb_batch_wait_reason_t
 reason_of_started (const task_t *task)
 {
@@ -88,7 +113,7 @@
 }
 
 static cb_batch_wait_reason_t
-reason_of (const pass_t *pass, const task_t *task)
+reason_of (pass_t *pass, task_t *task)
 {
   if (task->state == TASK_STARTED)
     return reason_of_started (task);
@@ -100,17 +125,16 @@
     return CB_WAIT_GANG;
   if (task_step (task)->advised)
     return CB_WAIT_ADVICE;
-  if (!has_worker (pass->capacities, task, FALSE))
-    return CB_WAIT_NO_WORKER;
-  return has_worker (pass->capacities, task, TRUE) ? CB_WAIT_HELD : CB_WAIT_NO_ROOM;
+  return has_worker (pass->capacities, task) ? reason_of_placement (pass, task)
+                                             : CB_WAIT_NO_WORKER;
 }
 
 /* Returns a task of JOB whose step is ready and that is neither done nor failed; NULL:
    there is none. Prefers one that counts as started, as others may wait for it. */
-static const task_t *
+static task_t *
 stuck_task (const job_t *job, cb_msec_t wall_ms)
 {
-  const task_t *waiting = NULL;
+  task_t *waiting = NULL;
 
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     for (uint32_t i = 0; i < job->spec->n_steps; i++)
@@ -129,7 +153,7 @@
 }
 
 static void
-fill_wait (const pass_t *pass, const task_t *task, cb_batch_wait_t *wait)
+fill_wait (pass_t *pass, task_t *task, cb_batch_wait_t *wait)
 {
   const worker_t *w = task->state == TASK_STARTED ? task->worker : NULL;
 
@@ -191,7 +215,7 @@
 void
 find_waits (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
-  const task_t *stuck = NULL;
+  task_t *stuck = NULL;
   pass_t *pass;
   gboolean room;
 
@@ -205,7 +229,7 @@
   for (GList *l = b->job_list.head; l != NULL; l = l->next)
     {
       job_t *job = l->data;
-      const task_t *task;
+      task_t *task;
 
       if (!job_open (job))
         continue;
@@ -223,7 +247,10 @@
       stuck = task;
     }
   if (stuck != NULL)
-    fill_wait (pass, stuck, &b->wait);
+    {
+      reserve_for_urgent (pass->capacities);
+      fill_wait (pass, stuck, &b->wait);
+    }
   pass_free (pass);
   log_wait (b, &b->wait, now_ms);
 }
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -33,6 +33,7 @@
   bool daemon = false;
   uint32_t max_unavailable = 0;
   bool fills = false;
+  std::string label = "";
 
   Cb__BatchStep *
   NewStep () const
@@ -51,6 +52,7 @@
     step->max_unavailable = max_unavailable;
     step->daemon = daemon || target_ms > 0;
     step->fills = fills;
+    cb_msg_set_string (&step->label, label.c_str ());
     step->n_after = after.size ();
     if (!after.empty ())
       step->after = static_cast<uint32_t *> (calloc (after.size (), sizeof (uint32_t)));
--- a/test/batch_worker.h
+++ b/test/batch_worker.h
@@ -64,7 +64,8 @@
   std::string id;
   std::string agent;
   std::string rack;
-  std::string address; // where it receives calls; empty: its agent does not say
+  std::string kind = "a"; // its first label
+  std::string address;    // where it receives calls; empty: its agent does not say
   uint64_t incarnation_ms = 1;
   uint32_t cpu_milli = 64000;
   uint32_t accelerators = 8;
@@ -169,7 +170,7 @@
     report->cpu_milli = cpu_milli;
     report->memory_mb = 131072;
     report->accelerators = accelerators;
-    for (const std::string &label : { std::string ("a"), rack })
+    for (const std::string &label : { kind, rack })
       cb_msg_append (reinterpret_cast<void ***> (&report->labels), &report->n_labels,
                      strdup (label.c_str ()));
     report->clock_ms = static_cast<uint64_t> (now);
