Preempt on several racks for a gang that no rack can hold

What callers saw: a guaranteed gang that prefers one rack, with its label on one worker of each rack, never got its accelerators back from others that had borrowed them (RECLAIM, LOST); nor did an urgent gang that is larger than any rack ever preempt less urgent work, or keep the places that were about to be free.

A cost that is not justified in one rack is not tried on several. reserve_awaited keeps places anywhere if no rack is expected to have room. Every start over several racks logs gang_spread.

--- a/batch/local.h
+++ b/batch/local.h
@@ -417,9 +417,8 @@
 gboolean prefers_one_rack (const Cb__BatchStep *step, uint32_t count);
 gboolean fit_tasks (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
                     scope_t scope, capacity_t **chosen);
-void release_chosen (task_t **tasks, uint32_t count, capacity_t **chosen);
 gboolean has_room (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
-                   scope_t scope);
+                   scope_t scope, uint32_t times);
 
 /* trust.c */
 void trust_run_failed (worker_t *w, task_t *task, cb_msec_t now_ms);
--- a/batch/place.c
+++ b/batch/place.c
@@ -220,12 +220,31 @@
   return valid;
 }
 
+static scope_t
+preferred_scope (task_t **tasks, uint32_t count)
+{
+  return prefers_one_rack (task_spec (tasks[0]), count) ? SCOPE_RACK : SCOPE_FLEET;
+}
+
+/* Returns SCOPE_RACK when all the workers of CHOSEN are in one rack. */
+static scope_t
+scope_of (capacity_t **chosen, uint32_t count)
+{
+  for (uint32_t i = 1; i < count; i++)
+    if (strcmp (chosen[i]->worker->rack, chosen[0]->worker->rack) != 0)
+      return SCOPE_FLEET;
+  return SCOPE_RACK;
+}
+
 /* Starts COUNT tasks on the workers of CHOSEN, and drops any plans for the tasks. */
 static void
 start_chosen (pass_t *pass, task_t **tasks, capacity_t **chosen, uint32_t count)
 {
   worker_t **workers = g_new (worker_t *, count);
 
+  if (preferred_scope (tasks, count) == SCOPE_RACK &&
+      scope_of (chosen, count) != SCOPE_RACK)
+    log_spread (pass, tasks, chosen, count);
   for (uint32_t i = 0; i < count; i++)
     {
       workers[i] = chosen[i]->worker;
@@ -266,22 +285,6 @@
   return FALSE;
 }
 
-static scope_t
-preferred_scope (task_t **tasks, uint32_t count)
-{
-  return prefers_one_rack (task_spec (tasks[0]), count) ? SCOPE_RACK : SCOPE_FLEET;
-}
-
-/* Returns SCOPE_RACK when all the workers of CHOSEN are in one rack. */
-static scope_t
-scope_of (capacity_t **chosen, uint32_t count)
-{
-  for (uint32_t i = 1; i < count; i++)
-    if (strcmp (chosen[i]->worker->rack, chosen[0]->worker->rack) != 0)
-      return SCOPE_FLEET;
-  return SCOPE_RACK;
-}
-
 /* Handles COUNT tasks that have a plan: starts them on any workers with free capacity,
    in one rack if they prefer that and the plan has one, or else keeps the planned
    capacity reserved and starts them there once it is free. Returns FALSE when not all
@@ -359,41 +362,35 @@
   return started;
 }
 
-/* Starts COUNT tasks, which prefer one rack and have found none, on several racks if
-   these have room and no rack is worth the wait, or preempts work in one rack. PREEMPT:
-   work may be preempted. */
+/* Places COUNT tasks that prefer one rack and have found none with free capacity:
+   preempts work in one rack, or else, if no rack is worth the wait, starts them on
+   several racks or preempts work there. PREEMPT: work may be preempted. */
 static gboolean
-place_on_several_racks (pass_t *pass, const demand_t *demand, task_t **tasks,
-                        uint32_t count, gboolean preempt)
+place_without_rack (pass_t *pass, const demand_t *demand, task_t **tasks,
+                    uint32_t count, gboolean preempt)
 {
   step_state_t *step = task_step (tasks[0]);
-  capacity_t **chosen = g_new0 (capacity_t *, count);
-  gboolean fits = fit_unless_missed (pass, demand, tasks, count, SCOPE_FLEET, chosen);
-  gboolean idle =
-      fits && demand->idle && has_room (pass, tasks, count, demand->reach, SCOPE_FLEET);
-  gboolean placed = TRUE;
-  cb_msec_t deadline_ms;
-
-  if (fits)
-    release_chosen (tasks, count, chosen);
-  if (fits && step->rack_wait_since_ms == 0)
+  gboolean fits = !is_fit_missed (pass, tasks, count, demand->reach, SCOPE_FLEET) &&
+                  has_room (pass, tasks, count, demand->reach, SCOPE_FLEET, 1);
+  gboolean idle = fits && demand->idle &&
+                  has_room (pass, tasks, count, demand->reach, SCOPE_FLEET, 2);
+  cb_msec_t deadline_ms = rack_deadline_ms (pass, tasks[0], idle);
+  plan_result_t plan = PLAN_NOT_TRIED;
+
+  /* Stops that take no effect must not be planned without end. */
+  if (preempt && (!fits || pass->now_ms < deadline_ms))
+    plan = preempt_unless_missed (pass, demand, tasks, count, SCOPE_RACK);
+  if (plan == PLAN_MADE)
+    return TRUE;
+  if (!fits && plan != PLAN_IMPOSSIBLE)
+    return FALSE;
+  if (step->rack_wait_since_ms == 0)
     step->rack_wait_since_ms = pass->now_ms;
-  deadline_ms = rack_deadline_ms (pass, tasks[0], idle);
-  if (preempt && (!fits || pass->now_ms < deadline_ms) &&
-      preempt_unless_missed (pass, demand, tasks, count, SCOPE_RACK) == PLAN_MADE)
-    ;
-  else if (fits &&
-           !is_rack_expected (pass, tasks, count, demand->guaranteed, deadline_ms))
-    {
-      for (uint32_t i = 0; i < count; i++)
-        capacity_take (chosen[i], task_spec (tasks[i]));
-      log_spread (pass, tasks, chosen, count);
-      start_chosen (pass, tasks, chosen, count);
-    }
-  else
-    placed = FALSE;
-  g_free (chosen);
-  return placed;
+  if (is_rack_expected (pass, tasks, count, demand->guaranteed, deadline_ms))
+    return FALSE;
+  return fits ? start_where_free (pass, demand, tasks, count, SCOPE_FLEET)
+              : preempt_unless_missed (pass, demand, tasks, count, SCOPE_FLEET) ==
+                    PLAN_MADE;
 }
 
 /* Starts COUNT tasks together, or, with PREEMPT, preempts work and plans their start.
@@ -410,7 +407,7 @@
       start_where_free (pass, demand, tasks, count, scope))
     return TRUE;
   if (scope == SCOPE_RACK
-          ? place_on_several_racks (pass, demand, tasks, count, preempt)
+          ? place_without_rack (pass, demand, tasks, count, preempt)
           : preempt &&
                 preempt_unless_missed (pass, demand, tasks, count, scope) == PLAN_MADE)
     return TRUE;
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -570,14 +570,17 @@
   return wait_ms;
 }
 
-/* Deducts the capacity that is expected to become free first in SCOPE for COUNT tasks
-   that cannot start yet, so that smaller tasks do not take it bit by bit. */
+/* Deducts the capacity that is expected to become free first in SCOPE, or anywhere if
+   no rack is expected to have room, for COUNT tasks that cannot start yet, so that
+   smaller tasks do not take it bit by bit. */
 void
 reserve_awaited (pass_t *pass, task_t **tasks, uint32_t count, scope_t scope)
 {
   const worker_t **chosen = g_new0 (const worker_t *, count);
   double wait_ms = expected_room_ms (pass, tasks, count, scope, chosen);
 
+  if (wait_ms < 0 && scope == SCOPE_RACK)
+    wait_ms = expected_room_ms (pass, tasks, count, SCOPE_FLEET, chosen);
   for (uint32_t i = 0; wait_ms >= 0 && i < count; i++)
     if (chosen[i] != NULL)
       capacity_take (chosen[i]->capacity, task_spec (tasks[i]));
--- a/batch/room.c
+++ b/batch/room.c
@@ -463,23 +463,19 @@
   return FALSE;
 }
 
-/* Gives back the capacity that fit_tasks deducted. */
-void
-release_chosen (task_t **tasks, uint32_t count, capacity_t **chosen)
-{
-  for (uint32_t i = 0; i < count; i++)
-    capacity_release (chosen[i], task_spec (tasks[i]));
-}
-
-/* TRUE when COUNT tasks of one step fit within REACH and SCOPE. */
+/* TRUE when COUNT tasks of one step fit TIMES over within REACH and SCOPE. */
 gboolean
-has_room (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach, scope_t scope)
+has_room (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach, scope_t scope,
+          uint32_t times)
 {
-  capacity_t **chosen = g_new0 (capacity_t *, count);
-  gboolean fits = fit_tasks (pass, tasks, count, reach, scope, chosen);
-
-  if (fits)
-    release_chosen (tasks, count, chosen);
+  capacity_t **chosen = g_new0 (capacity_t *, (gsize)times * count);
+  uint32_t n = 0;
+
+  while (n < times &&
+         fit_tasks (pass, tasks, count, reach, scope, &chosen[(gsize)n * count]))
+    n++;
+  for (uint32_t i = 0; i < n * count; i++)
+    capacity_release (chosen[i], task_spec (tasks[0]));
   g_free (chosen);
-  return fits;
+  return n == times;
 }
--- a/batch/waits.c
+++ b/batch/waits.c
@@ -88,13 +88,14 @@
 
   for (uint32_t i = 0; i < count; i++)
     tasks[i] = spec->gang ? &step->tasks[i] : task;
-  if (has_room (pass, tasks, count, REACH_SHARED, scope))
+  if (has_room (pass, tasks, count, REACH_SHARED, scope, 1))
     reason = CB_WAIT_HELD;
-  else if (has_room (pass, tasks, count, REACH_RESERVED, scope))
+  else if (has_room (pass, tasks, count, REACH_RESERVED, scope, 1))
     reason = CB_WAIT_RESERVED;
-  else if (has_room (pass, tasks, count, REACH_ALL, scope))
+  else if (has_room (pass, tasks, count, REACH_ALL, scope, 1))
     reason = CB_WAIT_UNTRUSTED;
-  else if (scope == SCOPE_RACK && has_room (pass, tasks, count, REACH_ALL, SCOPE_FLEET))
+  else if (scope == SCOPE_RACK &&
+           has_room (pass, tasks, count, REACH_ALL, SCOPE_FLEET, 1))
     reason = CB_WAIT_RACK;
   g_free (tasks);
   return reason;
--- a/test/batch_rack_test.cc
+++ b/test/batch_rack_test.cc
@@ -169,6 +169,36 @@
   EXPECT_LT (TimeToStart (sim, "g", 1, gang, 60000), extra_ms + 1500);
 }
 
+// Guards against a guarantee that is not met because no rack holds the gang, although
+// several racks do once other work is preempted there.
+TEST (BatchRack, GuaranteedGangWithoutARackPreemptsOnSeveral)
+{
+  BatchSimulation sim (6, 3, { { "owner", 16 } });
+  StepSpec gang = NewGang ();
+
+  sim.workers[0]->kind = "b";
+  sim.workers[3]->kind = "b";
+  sim.Advance (500);
+  sim.SubmitAndRun ("lent", 0, { { 48, 1 } }, 60000, 300, "other");
+  ASSERT_EQ (sim.Running ("lent"), 48);
+  gang.label = "b";
+  EXPECT_LE (TimeToStart (sim, "g", 0, gang, 10000, "owner"), sim.params.reclaim_ms);
+}
+
+// As above, for urgent work without a guarantee that is larger than a rack.
+TEST (BatchRack, UrgentGangLargerThanARackPreemptsOnSeveral)
+{
+  BatchSimulation sim (6, 2);
+  StepSpec gang = NewGang ();
+  StepSpec work = { 48, 1 };
+
+  work.saves = true;
+  sim.SubmitAndRun ("w", 1, { work }, 60000, 300);
+  ASSERT_GE (sim.Running ("w"), 30);
+  gang.count = 6;
+  EXPECT_LT (TimeToStart (sim, "g", 0, gang, 10000), 1000);
+}
+
 // Guards against a search that is left out as an equal gang found no rack in the same
 // pass, although this one needs none: its label is on one worker of each rack.
 TEST (BatchRack, MissOfAGangDoesNotRuleOutOneThatMaySpread)
