Learn run times without the slowdown of remote runs

Cause: a run on several racks, or away from its data, takes remote_slowdown times as long, and counted in full in the run times of its queue. Objectives, admission and, since the commits before, the wait for a rack follow them: after one spread gang the next waits up to three times as long for a rack as that saves.

Run times are divided by the slowdown, and the expected end of a remote run without progress counts it.

--- a/batch/fold.c
+++ b/batch/fold.c
@@ -216,6 +216,7 @@
   set_state (task, TASK_STARTED);
   task->run = start->run->run;
   task->started_ms = now_ms;
+  task->remote = start->remote;
   task->reported = FALSE;
   task->stop_requested = FALSE;
   task->proposed_end = FALSE;
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -250,6 +250,7 @@
              cb_msec_t now_ms)
 {
   Cb__TaskStart **starts = g_new (Cb__TaskStart *, count);
+  gboolean remote = is_remote (tasks[0], workers, count);
   Cb__BatchRecord *record;
   uint32_t gang_run = 0;
   size_t bytes = 0;
@@ -261,6 +262,7 @@
       uint32_t run = task_spec (tasks[i])->gang ? gang_run : tasks[i]->run + 1;
 
       starts[i] = task_start_new (tasks[i], run, workers[i]);
+      starts[i]->remote = remote;
       bytes += element_bytes (&starts[i]->base);
       note_proposed_start (b, tasks[i], run, workers[i], now_ms);
     }
--- a/batch/learn.c
+++ b/batch/learn.c
@@ -19,6 +19,13 @@
   return run_time;
 }
 
+/* Returns how many times as long as its work TASK's run takes. */
+static double
+slowdown (const cb_batch_t *b, const task_t *task)
+{
+  return task->remote ? MAX (1, b->params.remote_slowdown) : 1;
+}
+
 /* Updates the run times of the queue and the trust in the worker after the end of
    TASK's run. */
 void
@@ -26,6 +33,7 @@
 {
   run_time_t *run_time = get_run_time (b, task->job->spec->queue);
   cb_msec_t took_ms = now_ms - task->started_ms;
+  double work_ms;
 
   if (how == CB__RUN_END__RUN_FAILED)
     trust_run_failed (task->worker, task, now_ms);
@@ -37,10 +45,11 @@
   /* A resumed run does not show the run time of the whole task. */
   if (took_ms <= 0 || task->checkpoint != NULL)
     return;
+  work_ms = (double)took_ms / slowdown (b, task);
   run_time->mean_ms =
       run_time->count == 0
-          ? (double)took_ms
-          : run_time->mean_ms + RUN_TIME_WEIGHT * ((double)took_ms - run_time->mean_ms);
+          ? work_ms
+          : run_time->mean_ms + RUN_TIME_WEIGHT * (work_ms - run_time->mean_ms);
   run_time->count++;
 }
 
@@ -75,10 +84,12 @@
 remaining_ms (const cb_batch_t *b, const task_t *task, cb_msec_t now_ms)
 {
   cb_msec_t ran_ms = now_ms - task->started_ms;
+  double expected_ms;
 
   if (task->percent > 0 && task->percent <= 100 && ran_ms > 0)
     return MAX (1, ran_ms * (100 - (cb_msec_t)task->percent) / task->percent);
-  return MAX (1, expected_task_ms (b, task->job->spec, task->step) - ran_ms);
+  expected_ms = (double)expected_task_ms (b, task->job->spec, task->step);
+  return MAX (1, (cb_msec_t)(expected_ms * slowdown (b, task)) - ran_ms);
 }
 
 /* Returns the critical path of an occurrence in ms: the longest chain of expected run
--- a/batch/local.h
+++ b/batch/local.h
@@ -32,6 +32,7 @@
   char *checkpoint;      /* of the latest ended run that has one; NULL: none */
   worker_t *worker;      /* of the current run or of the proposed start; NULL: none */
   cb_msec_t started_ms;  /* when the start of the latest run was applied */
+  gboolean remote;       /* this run is on several racks or away from its data */
   uint32_t worker_index; /* position in worker->tasks */
   /* Scheduler. */
   gboolean proposed_start;     /* a start that is not applied yet was proposed */
@@ -414,6 +415,7 @@
 gboolean worker_holds (const worker_t *w, const Cb__BatchStep *step);
 gboolean capacity_allows (const capacity_t *capacity, const task_t *task,
                           uint32_t n_chosen);
+gboolean is_remote (const task_t *task, worker_t **workers, uint32_t count);
 gboolean prefers_one_rack (const Cb__BatchStep *step, uint32_t count);
 gboolean fit_tasks (pass_t *pass, task_t **tasks, uint32_t count, reach_t reach,
                     scope_t scope, capacity_t **chosen);
--- a/batch/room.c
+++ b/batch/room.c
@@ -449,6 +449,22 @@
   return step->same_rack && count > 1;
 }
 
+/* TRUE when COUNT tasks like TASK, which start together on WORKERS, run slower there
+   than on one rack or near their data. */
+gboolean
+is_remote (const task_t *task, worker_t **workers, uint32_t count)
+{
+  const Cb__BatchStep *step = task_spec (task);
+
+  for (uint32_t i = 0; i < count; i++)
+    if ((step->data_rack[0] != '\0' &&
+         strcmp (workers[i]->rack, step->data_rack) != 0) ||
+        (prefers_one_rack (step, count) &&
+         strcmp (workers[i]->rack, workers[0]->rack) != 0))
+      return TRUE;
+  return FALSE;
+}
+
 /* Chooses workers within REACH and SCOPE for COUNT tasks of one step, and deducts the
    capacity of the tasks. Returns FALSE and deducts nothing when not all of them fit. */
 gboolean
--- a/batch/snapshot.c
+++ b/batch/snapshot.c
@@ -20,6 +20,7 @@
   cb_msg_set_string (&state->agent, task->worker->agent);
   cb_msg_set_string (&state->address, task->worker->address);
   state->moved = task->worker->several_addresses;
+  state->remote = task->remote;
   state->born_ms = task->worker->incarnation_ms;
   return state;
 }
@@ -115,6 +116,7 @@
   task->progress_ms = now_ms;
   attach_task (get_worker (b, state->worker, state->born_ms, state->agent), task);
   note_address (task->worker, state->address);
+  task->remote = state->remote;
   if (state->moved)
     note_moved (task->worker);
 }
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -1868,7 +1868,7 @@
   (ProtobufCMessageInit) cb__task_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__task_start__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cb__task_start__field_descriptors[6] =
 {
   {
     "run",
@@ -1930,18 +1930,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "remote",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cb__TaskStart, remote),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__task_start__field_indices_by_name[] = {
   4,   /* field[4] = address */
   3,   /* field[3] = agent */
   2,   /* field[2] = born_ms */
+  5,   /* field[5] = remote */
   0,   /* field[0] = run */
   1,   /* field[1] = worker */
 };
 static const ProtobufCIntRange cb__task_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cb__task_start__descriptor =
 {
@@ -1951,7 +1964,7 @@
   "Cb__TaskStart",
   "cb",
   sizeof(Cb__TaskStart),
-  5,
+  6,
   cb__task_start__field_descriptors,
   cb__task_start__field_indices_by_name,
   1,  cb__task_start__number_ranges,
@@ -2791,7 +2804,7 @@
   (ProtobufCMessageInit) cb__batch_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_task_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cb__batch_task_state__field_descriptors[10] =
 {
   {
     "state",
@@ -2901,6 +2914,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "remote",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchTaskState, remote),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_task_state__field_indices_by_name[] = {
   7,   /* field[7] = address */
@@ -2908,6 +2933,7 @@
   5,   /* field[5] = born_ms */
   2,   /* field[2] = failures */
   8,   /* field[8] = moved */
+  9,   /* field[9] = remote */
   1,   /* field[1] = run */
   3,   /* field[3] = saved */
   0,   /* field[0] = state */
@@ -2916,7 +2942,7 @@
 static const ProtobufCIntRange cb__batch_task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cb__batch_task_state__descriptor =
 {
@@ -2926,7 +2952,7 @@
   "Cb__BatchTaskState",
   "cb",
   sizeof(Cb__BatchTaskState),
-  9,
+  10,
   cb__batch_task_state__field_descriptors,
   cb__batch_task_state__field_indices_by_name,
   1,  cb__batch_task_state__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -229,10 +229,14 @@
    * of the worker; empty: unknown
    */
   char *address;
+  /*
+   * on several racks, or away from its data: slower by remote_slowdown
+   */
+  protobuf_c_boolean remote;
 };
 #define CB__TASK_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__task_start__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cb__TaskEnd
@@ -460,10 +464,14 @@
    * the worker has had several addresses
    */
   protobuf_c_boolean moved;
+  /*
+   * as in TaskStart
+   */
+  protobuf_c_boolean remote;
 };
 #define CB__BATCH_TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_task_state__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cb__BatchStepState
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -34,6 +34,7 @@
   uint32_t max_unavailable = 0;
   bool fills = false;
   std::string label = "";
+  std::string data_rack = "";
 
   Cb__BatchStep *
   NewStep () const
@@ -53,6 +54,7 @@
     step->daemon = daemon || target_ms > 0;
     step->fills = fills;
     cb_msg_set_string (&step->label, label.c_str ());
+    cb_msg_set_string (&step->data_rack, data_rack.c_str ());
     step->n_after = after.size ();
     if (!after.empty ())
       step->after = static_cast<uint32_t *> (calloc (after.size (), sizeof (uint32_t)));
--- a/test/batch_rack_test.cc
+++ b/test/batch_rack_test.cc
@@ -169,6 +169,34 @@
   EXPECT_LT (TimeToStart (sim, "g", 1, gang, 60000), extra_ms + 1500);
 }
 
+// Guards against run times that are learned three times too long from runs on several
+// racks or away from their data: gangs then wait three times as long for a rack.
+TEST (BatchRack, RunTimesAreLearnedWithoutTheSlowdown)
+{
+  for (bool away : { false, true })
+    {
+      BatchSimulation sim (9, 3);
+      StepSpec gang = NewGang ();
+
+      gang.estimate_ms = 6000;
+      gang.count = away ? 2 : 4;
+      gang.data_rack = away ? "r9" : "";
+      sim.SubmitAndRun ("first", 0, { gang }, 18000, 1000);
+      sim.ReloadIdle ();
+      sim.Advance (19000);
+      ASSERT_EQ (sim.done.size (), gang.count);
+      sim.TakeOver ();
+      sim.Advance (500);
+      OccupyAllButOneOfEachRack (sim, 3, 1500, false);
+      for (auto &w : sim.workers)
+        for (auto &r : w->running)
+          r.second.end_ms += 6000000;
+      gang.count = 2;
+      gang.data_rack = "";
+      EXPECT_LT (TimeToStart (sim, "g", 0, gang, 60000), 2 * 6000 + 1500);
+    }
+}
+
 // Guards against a guarantee that is not met because no rack holds the gang, although
 // several racks do once other work is preempted there.
 TEST (BatchRack, GuaranteedGangWithoutARackPreemptsOnSeveral)
