Let a failed task probe a worker when no trusted one has room

Cause: on the same path as the wait for a rack, trust_update_task took a trusted worker that could hold the task if it were empty for a reason to wait. A failed task is no probe for a worker on probation while there is one; where the others are occupied by work that never ends, the task waited for ever beside the free worker on which it had failed once, on a fleet of which more than half is in use (else REACH_ALL helps).

Change: a failed task for which no trusted worker has room may be the probe 4 s after its failure, 8 s and 16 s after further ones, once the quarantine of the worker is over.

Evidence: BatchTrust.FailedTaskDoesNotWaitForWorkersThatAreNeverFree failed on (not begun after 60 s) and passes; batch_trust_test, batch_wait_test, batch_place_test, batch_test, batch_size_test, batch_rack_test pass (virtual time).

--- a/batch/local.h
+++ b/batch/local.h
@@ -57,6 +57,7 @@
                               it a short time ago; NULL: none */
   cb_msec_t failed_ms;     /* when the latest of these runs ended */
   gboolean uses_untrusted; /* no trusted worker can hold the failed task */
+  gboolean may_probe;      /* no trusted worker has had room for the failed task */
   uint32_t stall_stops;    /* runs that were stopped for lack of progress */
   /* Position in the job. */
   job_t *job;
--- a/batch/trust.c
+++ b/batch/trust.c
@@ -24,6 +24,10 @@
 /* A failed task that no trusted worker can hold tries an untrusted one after this
    time. */
 #define UNTRUSTED_RETRY_MS 2000
+/* A failed task for which no trusted worker has room may be the probe of a worker after
+   this time, which doubles with each further failure, up to FAILED_PROBE_MAX_MS. */
+#define FAILED_PROBE_MS 4000
+#define FAILED_PROBE_MAX_MS 16000
 
 /* Makes TASK avoid W for its next runs. */
 static void
@@ -193,34 +197,49 @@
   return FALSE;
 }
 
+/* Returns how long after its latest failure TASK may be the probe of a worker. */
+static cb_msec_t
+failed_probe_ms (const task_t *task)
+{
+  uint32_t doublings = MIN (MAX (task->failures, 1) - 1, 8);
+
+  return MIN ((cb_msec_t)FAILED_PROBE_MS << doublings, FAILED_PROBE_MAX_MS);
+}
+
 /* Updates which workers TASK avoids, if it has failed or been rejected. It may use the
    workers of such runs again after AVOID_FAILED_ON_MS, or when no other trusted worker
    can hold it, and in that case untrusted ones after UNTRUSTED_RETRY_MS: it must not
-   wait for other work to restore the trust. */
+   wait for other work to restore the trust. Where trusted workers could hold it but
+   have no room, which may last for ever, it may become a probe later. */
 void
 trust_update_task (const GPtrArray *capacities, task_t *task, cb_msec_t now_ms)
 {
   gboolean other = FALSE;
+  gboolean room = FALSE;
 
   expire_avoided (task, now_ms);
   if (task->avoided == NULL && task->failures == 0)
     return;
-  for (guint i = 0; i < capacities->len && !other; i++)
+  for (guint i = 0; i < capacities->len && !room; i++)
     {
       const capacity_t *capacity = capacities->pdata[i];
 
-      other = !avoids (task, capacity->worker) && capacity->trust == TRUST_FULL &&
-              worker_suits (capacity->worker, task) &&
-              worker_holds (capacity->worker, task_spec (task));
+      if (avoids (task, capacity->worker) || capacity->trust != TRUST_FULL ||
+          !worker_suits (capacity->worker, task) ||
+          !worker_holds (capacity->worker, task_spec (task)))
+        continue;
+      other = TRUE;
+      room = capacity_fits (capacity, task_spec (task));
     }
   if (!other)
     trust_forget_avoided (task);
+  task->may_probe = !room && now_ms - task->failed_ms >= failed_probe_ms (task);
   task->uses_untrusted = !other && now_ms - task->failed_ms >= UNTRUSTED_RETRY_MS;
 }
 
 /* TRUE when the trust in the worker of CAPACITY allows TASK. A worker on probe gets one
-   task at a time, none that has failed before unless no trusted worker can hold it, and
-   a gang member only with gang_probe. */
+   task at a time, none that has failed before unless no trusted worker has had room for
+   it, and a gang member only with gang_probe. */
 gboolean
 trust_allows (const capacity_t *capacity, const task_t *task)
 {
@@ -229,7 +248,7 @@
   if (task->uses_untrusted)
     return TRUE;
   if (capacity->trust == TRUST_PROBE)
-    return task->failures == 0 && !is_probed (capacity->worker) &&
+    return (task->failures == 0 || task->may_probe) && !is_probed (capacity->worker) &&
            (!task_spec (task)->gang || capacity->gang_probe);
   return capacity->trust == TRUST_FULL;
 }
--- a/test/batch_rack_test.cc
+++ b/test/batch_rack_test.cc
@@ -271,4 +271,4 @@
   EXPECT_LT (TimeToStart (sim, "g", 0, NewGang (), 20000), 1000);
 }
 
-}
+} // namespace
--- a/test/batch_trust_test.cc
+++ b/test/batch_trust_test.cc
@@ -111,4 +111,23 @@
   EXPECT_EQ (sim.Status ("task"), CB_JOB_COMPLETED);
 }
 
+// Guards against a failed task that waits without end for trusted workers that work
+// which never ends occupies, while the worker that it failed on is free.
+TEST (BatchTrust, FailedTaskDoesNotWaitForWorkersThatAreNeverFree)
+{
+  BatchSimulation sim (3, 3);
+  StepSpec daemon = { 2, 8 };
+
+  daemon.daemon = true;
+  sim.SubmitAndRun ("d", 0, { daemon }, 600000, 300);
+  ASSERT_EQ (sim.Running ("d"), 2);
+  for (auto &w : sim.workers)
+    w->fails_all = w->running.empty ();
+  sim.SubmitAndRun ("j", 0, { { 1, 8 } }, 5000, 200);
+  ASSERT_EQ (sim.failed_runs, 1);
+  for (auto &w : sim.workers)
+    w->fails_all = false;
+  EXPECT_LT (sim.AdvanceUntilRunning ("j", 60000), 10000);
+}
+
 } // namespace
