Keep the wait for a rack through take-overs

Change: a new scheduler assumes that the gang of a job that runs nothing has waited since the job last ran, which all entries know from the log. A job that was idle for other reasons may so start over several racks earlier than it would.

--- a/batch/local.h
+++ b/batch/local.h
@@ -456,6 +456,7 @@
 void reserve_awaited (pass_t *pass, task_t **tasks, uint32_t count, scope_t scope);
 
 /* racks.c */
+void note_rack_wait (const pass_t *pass, const task_t *task);
 cb_msec_t rack_deadline_ms (const pass_t *pass, const task_t *task, gboolean idle);
 gboolean is_rack_expected (pass_t *pass, task_t **tasks, uint32_t count,
                            gboolean guaranteed, cb_msec_t deadline_ms);
--- a/batch/place.c
+++ b/batch/place.c
@@ -369,7 +369,6 @@
 place_without_rack (pass_t *pass, const demand_t *demand, task_t **tasks,
                     uint32_t count, gboolean preempt)
 {
-  step_state_t *step = task_step (tasks[0]);
   gboolean fits = !is_fit_missed (pass, tasks, count, demand->reach, SCOPE_FLEET) &&
                   has_room (pass, tasks, count, demand->reach, SCOPE_FLEET, 1);
   gboolean idle = fits && demand->idle &&
@@ -384,8 +383,7 @@
     return TRUE;
   if (!fits && plan != PLAN_IMPOSSIBLE)
     return FALSE;
-  if (step->rack_wait_since_ms == 0)
-    step->rack_wait_since_ms = pass->now_ms;
+  note_rack_wait (pass, tasks[0]);
   if (is_rack_expected (pass, tasks, count, demand->guaranteed, deadline_ms))
     return FALSE;
   return fits ? start_where_free (pass, demand, tasks, count, SCOPE_FLEET)
--- a/batch/racks.c
+++ b/batch/racks.c
@@ -18,6 +18,21 @@
                      (double)cautious_task_ms (pass->b, task->job->spec, task->step));
 }
 
+/* Notes that TASK's gang could start over several racks from now on. A new scheduler
+   assumes that it has waited since its job last ran, so that the wait does not begin
+   anew with each one. */
+void
+note_rack_wait (const pass_t *pass, const task_t *task)
+{
+  cb_msec_t *since_ms = &task_step (task)->rack_wait_since_ms;
+  const job_t *job = task->job;
+
+  if (*since_ms == 0)
+    *since_ms = job->open_runs == 0 && job->idle_since_ms < pass->b->scheduler_since_ms
+                    ? job->idle_since_ms
+                    : pass->now_ms;
+}
+
 /* Returns until when TASK's gang may wait for a rack, although several could hold it:
    counted from when they first could. IDLE: the job runs nothing on a fleet that has
    room twice over. */
--- a/test/batch_rack_test.cc
+++ b/test/batch_rack_test.cc
@@ -197,6 +197,28 @@
     }
 }
 
+// As above, with schedulers that are replaced: each would begin the wait anew.
+TEST (BatchRack, TakeOversDoNotProlongTheWaitForARack)
+{
+  BatchSimulation sim (9, 3);
+  StepSpec gang = NewGang ();
+
+  sim.AddReplica ();
+  gang.estimate_ms = 6000;
+  OccupyAllButOneOfEachRack (sim, 3, 1500, false);
+  for (auto &w : sim.workers)
+    for (auto &r : w->running)
+      r.second.end_ms += 6000000;
+  cb_msec_t since = sim.now;
+  TimeToStart (sim, "g", 0, gang, 5000);
+  sim.Claim (sim.standby);
+  sim.AdvanceUntilRunning ("g", 5000);
+  sim.Claim (sim.others[0]);
+  sim.AdvanceUntilRunning ("g", 30000);
+  // Of the bound, 2 s are for the placement of a new scheduler.
+  EXPECT_LT (sim.now - since, 2 * 6000 + 2000);
+}
+
 // Guards against a guarantee that is not met because no rack holds the gang, although
 // several racks do once other work is preempted there.
 TEST (BatchRack, GuaranteedGangWithoutARackPreemptsOnSeveral)
