--- a/batch/racks.c
+++ b/batch/racks.c
@@ -49,8 +49,9 @@
 
 /* TRUE when one rack is expected to hold COUNT TASKS of a gang until DEADLINE_MS, by
    what ends there, by decisions of the advisor that are still to come or, for a
-   guarantee, by the preemption that it may soon ask for. A guarantee that may do so
-   already has found no rack and waits no longer. */
+   guarantee, by the preemption that it may soon ask for; also when the pass may look at
+   no more workers. A guarantee that may preempt already has found no rack and waits no
+   longer. */
 gboolean
 is_rack_expected (pass_t *pass, task_t **tasks, uint32_t count, gboolean guaranteed,
                   cb_msec_t deadline_ms)
@@ -60,7 +61,8 @@
 
   if (pass->now_ms >= deadline_ms || preempts_equals (pass, tasks[0]->job, guaranteed))
     return FALSE;
-  if (advice_incomplete (pass->capacities, tasks[0], TRUE) ||
+  if (pass->reservation_budget <= 0 ||
+      advice_incomplete (pass->capacities, tasks[0], TRUE) ||
       (guaranteed && could_preempt_equals (pass, tasks, count, SCOPE_RACK)))
     return TRUE;
   chosen = g_new0 (const worker_t *, count);
--- a/test/batch_rack_test.cc
+++ b/test/batch_rack_test.cc
@@ -151,6 +151,23 @@
   EXPECT_EQ (RacksOf (sim, "g").size (), 1u);
 }
 
+// As above, for more gangs than one pass may look for racks for.
+TEST (BatchRack, ManyGangsWaitForRacksThatAreFreeSoon)
+{
+  BatchSimulation sim (240, 3);
+  constexpr int kGangs = 40;
+
+  OccupyAllButOneOfEachRack (sim, 3, 1500, false);
+  for (int i = 0; i < kGangs; i++)
+    {
+      sim.run_time_ms["g" + std::to_string (i)] = 10000;
+      sim.Submit ("g" + std::to_string (i), 0, { NewGang () });
+    }
+  sim.Advance (4000);
+  for (int i = 0; i < kGangs; i++)
+    EXPECT_EQ (RacksOf (sim, "g" + std::to_string (i)).size (), 1u) << i;
+}
+
 // Guards against a gang that waits without end for tasks that are expected to end soon
 // and do not.
 TEST (BatchRack, WaitForExpectedEndsIsBounded)
