Let gangs wait longer for a rack on a fleet that is mostly in use

Cause: on an overloaded fleet a gang of 4 to 9 whole workers that is spread takes them for three times as long, from work that waits. The wait for a rack weighed only what the gang itself loses.

Change: while 0.55 of the fleet or more is in use, the extra time counts twice, once for the gang and once for the work of the same size that it delays. The bound is twice as long there, and as before on other fleets.

--- a/batch/local.h
+++ b/batch/local.h
@@ -234,6 +234,9 @@
   GArray *by_end;
 };
 
+/* While less of the fleet is in use, no work should have to wait for other work. */
+#define IDLE_UTILIZATION 0.55
+
 /* One placement pass. */
 typedef struct
 {
@@ -241,6 +244,7 @@
   cb_msec_t now_ms;
   GPtrArray *capacities; /* of capacity_t, sorted by worker id, owned */
   GPtrArray *racks;      /* of GPtrArray: the capacities of each rack */
+  gboolean mostly_idle;  /* less than IDLE_UTILIZATION of the fleet is in use */
   /* Of miss_t of misses.c: what has found no capacity, and what no preemption could
      make room for. */
   GArray *fit_misses;
--- a/batch/place.c
+++ b/batch/place.c
@@ -19,7 +19,6 @@
    task for IDLE_WAIT_MS may start one task, or one gang, on any worker: reserved and
    untrusted workers must not block a job on an idle fleet. An urgent job or a step at
    risk is not limited to one task. */
-#define IDLE_UTILIZATION 0.55
 #define IDLE_WAIT_MS 1200
 
 /* A pass looks for work to preempt, and for capacity to reserve, on at most this many
@@ -86,9 +85,10 @@
 }
 
 static void
-add_demand (cb_batch_t *b, GArray *demands, demand_t demand, double utilization,
-            cb_msec_t now_ms, cb_msec_t wall_ms)
+add_demand (const pass_t *pass, GArray *demands, demand_t demand, cb_msec_t wall_ms)
 {
+  cb_batch_t *b = pass->b;
+  cb_msec_t now_ms = pass->now_ms;
   job_t *job = demand.job;
   gboolean restarts = job->started && job->spec->steps[demand.step]->daemon;
   cb_msec_t due_ms = occurrence_due_ms (job, demand.occurrence) - wall_ms + now_ms;
@@ -102,7 +102,7 @@
   demand.at_risk = restarts || now_ms > demand.latest_start_ms -
                                             AT_RISK_PER_PRIORITY_MS *
                                                 (cb_msec_t)MAX (1, job->spec->priority);
-  demand.idle = utilization < IDLE_UTILIZATION && job->open_runs == 0 &&
+  demand.idle = pass->mostly_idle && job->open_runs == 0 &&
                 now_ms - job->idle_since_ms > IDLE_WAIT_MS;
   demand.reach = demand.idle                                  ? REACH_ALL
                  : job->spec->priority == 0 || demand.at_risk ? REACH_RESERVED
@@ -112,9 +112,7 @@
 }
 
 static void
-add_job_demands (cb_batch_t *b, GArray *demands, job_t *job,
-                 const GPtrArray *capacities, double utilization, cb_msec_t now_ms,
-                 cb_msec_t wall_ms)
+add_job_demands (const pass_t *pass, GArray *demands, job_t *job, cb_msec_t wall_ms)
 {
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     for (uint32_t i = 0; i < job->spec->n_steps; i++)
@@ -125,21 +123,19 @@
         if (step->waiting == 0 || !step_ready (job, k, i, wall_ms))
           continue;
         if (step->waves == 0)
-          step->waves = step_waves (capacities, job->spec->steps[i]);
-        add_demand (b, demands, demand, utilization, now_ms, wall_ms);
+          step->waves = step_waves (pass->capacities, job->spec->steps[i]);
+        add_demand (pass, demands, demand, wall_ms);
       }
 }
 
 static GArray *
-list_demands (cb_batch_t *b, const GPtrArray *capacities, cb_msec_t now_ms,
-              cb_msec_t wall_ms)
+list_demands (const pass_t *pass, cb_msec_t wall_ms)
 {
   GArray *demands = g_array_new (FALSE, FALSE, sizeof (demand_t));
-  double utilization = fleet_utilization (capacities);
 
-  for (GList *l = b->job_list.head; l != NULL; l = l->next)
+  for (GList *l = pass->b->job_list.head; l != NULL; l = l->next)
     if (job_open (l->data))
-      add_job_demands (b, demands, l->data, capacities, utilization, now_ms, wall_ms);
+      add_job_demands (pass, demands, l->data, wall_ms);
   g_array_sort (demands, compare_demands);
   return demands;
 }
@@ -465,7 +461,7 @@
   GArray *demands;
 
   update_guarantees (b);
-  demands = list_demands (b, pass->capacities, now_ms, wall_ms);
+  demands = list_demands (pass, wall_ms);
   pass->preemption_budget = pass->reservation_budget =
       MAX (PLANNED_WORKERS_MAX, PLANS_MIN * (int64_t)pass->capacities->len);
   cb_batch_advice_request_free (cb_batch_pop_advice_request (b));
--- a/batch/racks.c
+++ b/batch/racks.c
@@ -1,6 +1,6 @@
 /* Gangs that run faster on one rack than on several: how long they wait for one. A gang
-   waits only while a rack is expected to have room early enough that it ends sooner
-   there, and in all never longer than what its run takes more on several racks. */
+   waits only while a rack is expected to have room early enough that it, or the other
+   work that its longer run delays, ends sooner; in all for no longer than that gain. */
 #include "batch/local.h"
 
 /* A job that runs nothing for this long, while less than half of the fleet is in use
@@ -8,6 +8,10 @@
    without a run on such a fleet at 3 s. */
 #define IDLE_RACK_WAIT_MS 2000
 
+/* On a fleet that is mostly in use, what the run of a gang takes longer is taken from
+   other work, of the same size altogether: it counts for both. */
+#define BUSY_EXTRA_FACTOR 2
+
 /* Returns what a run of TASK's gang takes longer on several racks than on one. */
 static cb_msec_t
 extra_run_ms (const pass_t *pass, const task_t *task)
@@ -40,8 +44,9 @@
 rack_deadline_ms (const pass_t *pass, const task_t *task, gboolean idle)
 {
   cb_msec_t since_ms = task_step (task)->rack_wait_since_ms;
-  cb_msec_t deadline_ms =
-      (since_ms > 0 ? since_ms : pass->now_ms) + extra_run_ms (pass, task);
+  cb_msec_t extra_ms =
+      extra_run_ms (pass, task) * (pass->mostly_idle ? 1 : BUSY_EXTRA_FACTOR);
+  cb_msec_t deadline_ms = (since_ms > 0 ? since_ms : pass->now_ms) + extra_ms;
 
   return idle ? MIN (deadline_ms, task->job->idle_since_ms + IDLE_RACK_WAIT_MS)
               : deadline_ms;
--- a/batch/room.c
+++ b/batch/room.c
@@ -124,6 +124,7 @@
     }
   g_ptr_array_sort (pass->capacities, compare_worker_ids);
   pass->racks = group_by_rack (pass->capacities);
+  pass->mostly_idle = fleet_utilization (pass->capacities) < IDLE_UTILIZATION;
   trust_update (pass->capacities, now_ms);
   return pass;
 }
