Do not spread urgent gangs because a pass makes no more plans

Change: they wait for the next pass; the deadline bounds that. Fleet-wide misses of such gangs are kept for the pass again, and max_tasks loses a parameter that nothing used any more.

--- a/batch/place.c
+++ b/batch/place.c
@@ -281,6 +281,19 @@
   return FALSE;
 }
 
+/* As has_room, but gives up at once what a miss of this pass rules out. */
+static gboolean
+has_room_unless_missed (pass_t *pass, const demand_t *demand, task_t **tasks,
+                        uint32_t count, scope_t scope)
+{
+  if (is_fit_missed (pass, tasks, count, demand->reach, scope))
+    return FALSE;
+  if (has_room (pass, tasks, count, demand->reach, scope, 1))
+    return TRUE;
+  note_fit_miss (pass, tasks, count, demand->reach, scope);
+  return FALSE;
+}
+
 /* Handles COUNT tasks that have a plan: starts them on any workers with free capacity,
    in one rack if they prefer that and the plan has one, or else keeps the planned
    capacity reserved and starts them there once it is free. Returns FALSE when not all
@@ -365,22 +378,23 @@
 place_without_rack (pass_t *pass, const demand_t *demand, task_t **tasks,
                     uint32_t count, gboolean preempt)
 {
-  gboolean fits = !is_fit_missed (pass, tasks, count, demand->reach, SCOPE_FLEET) &&
-                  has_room (pass, tasks, count, demand->reach, SCOPE_FLEET, 1);
+  gboolean fits = has_room_unless_missed (pass, demand, tasks, count, SCOPE_FLEET);
   gboolean idle = fits && demand->idle &&
                   has_room (pass, tasks, count, demand->reach, SCOPE_FLEET, 2);
   cb_msec_t deadline_ms = rack_deadline_ms (pass, tasks[0], idle);
-  plan_result_t plan = PLAN_NOT_TRIED;
+  plan_result_t plan = PLAN_IMPOSSIBLE;
 
-  /* Stops that take no effect must not be planned without end. */
+  /* Stops that take no effect must not be planned without end. Where the pass may make
+     no more plans, the next one does. */
   if (preempt && (!fits || pass->now_ms < deadline_ms))
     plan = preempt_unless_missed (pass, demand, tasks, count, SCOPE_RACK);
   if (plan == PLAN_MADE)
     return TRUE;
-  if (!fits && plan != PLAN_IMPOSSIBLE)
+  if (!fits && (!preempt || plan != PLAN_IMPOSSIBLE))
     return FALSE;
   note_rack_wait (pass, tasks[0]);
-  if (is_rack_expected (pass, tasks, count, demand->guaranteed, deadline_ms))
+  if (plan == PLAN_NOT_TRIED ||
+      is_rack_expected (pass, tasks, count, demand->guaranteed, deadline_ms))
     return FALSE;
   return fits ? start_where_free (pass, demand, tasks, count, SCOPE_FLEET)
               : preempt_unless_missed (pass, demand, tasks, count, SCOPE_FLEET) ==
--- a/batch/room.c
+++ b/batch/room.c
@@ -413,10 +413,9 @@
   return max_tasks_on_worker (w, step, 1) > 0;
 }
 
-/* Returns how many tasks of STEP the workers of CAPACITIES hold when they are empty.
-   With TASK, a task of the step, only workers that the advisor permits count. */
+/* Returns how many tasks of STEP the workers of CAPACITIES hold when they are empty. */
 static uint64_t
-max_tasks (const GPtrArray *capacities, const Cb__BatchStep *step, const task_t *task)
+max_tasks (const GPtrArray *capacities, const Cb__BatchStep *step)
 {
   uint64_t sum = 0;
 
@@ -424,8 +423,7 @@
     {
       const worker_t *w = ((capacity_t *)capacities->pdata[i])->worker;
 
-      if (task == NULL || advice_allows (task, w))
-        sum += max_tasks_on_worker (w, step, step->count);
+      sum += max_tasks_on_worker (w, step, step->count);
     }
   return sum;
 }
@@ -435,7 +433,7 @@
 uint32_t
 step_waves (const GPtrArray *capacities, const Cb__BatchStep *step)
 {
-  double share = (double)max_tasks (capacities, step, NULL) / STEP_FLEET_DIVISOR;
+  double share = (double)max_tasks (capacities, step) / STEP_FLEET_DIVISOR;
 
   if (share < 1)
     share = 1;
--- a/test/batch_rack_test.cc
+++ b/test/batch_rack_test.cc
@@ -168,6 +168,33 @@
     EXPECT_EQ (RacksOf (sim, "g" + std::to_string (i)).size (), 1u) << i;
 }
 
+// Guards against urgent gangs that are spread over racks, although one rack can be
+// cleared for each, because one pass may not make a plan for all of them.
+TEST (BatchRack, ManyUrgentGangsPreemptInOneRackEach)
+{
+  BatchSimulation sim (240, 3);
+  constexpr int kGangs = 40;
+  StepSpec work = { 160, 1 };
+
+  work.per_worker_max = 1;
+  work.saves = true;
+  work.estimate_ms = 1; // at risk of being late, so that reserves do not hold it back
+  work.label = "busy";
+  for (size_t i = 0; i < sim.workers.size (); i++)
+    sim.workers[i]->kind = i % 3 == 0 ? "free" : "busy";
+  sim.Advance (2000);
+  sim.SubmitAndRun ("w", 1, { work }, 600000, 8000);
+  ASSERT_EQ (sim.Running ("w"), 160);
+  for (int i = 0; i < kGangs; i++)
+    {
+      sim.run_time_ms["g" + std::to_string (i)] = 10000;
+      sim.Submit ("g" + std::to_string (i), 0, { NewGang () });
+    }
+  sim.Advance (3000);
+  for (int i = 0; i < kGangs; i++)
+    EXPECT_EQ (RacksOf (sim, "g" + std::to_string (i)).size (), 1u) << i;
+}
+
 // Guards against a gang that waits without end for tasks that are expected to end soon
 // and do not.
 TEST (BatchRack, WaitForExpectedEndsIsBounded)
