Count the lease of a worker whose instance was suspended in full

What callers would see: tasks of a worker run twice at the same time.

Cause: since a scheduler counts a lease from when the worker made its list, by the worker's clock, which is at most 2% slow. The steady clock of an instance that is suspended does not count that time. After a suspension of 5 s each lease of the worker was counted 5 s too short for as long as the scheduler stayed in office, and the lease that was in force lasted 5 s longer than the scheduler thought. A silence of 1.5 s then ended all runs of a worker that had a lease.

Change: agents add their own clock, which counts the suspension, to each list. The lists are counted as made no later than the larger of the two differences allows; without the agent's clock they count from their arrival. A report also shows what is left of the lease by the worker's clock.

Both new tests of BatchLease failed before with "j.0.0.0 runs twice", the second one also with the first half of the change. batch_test, batch_lease_test, batch_wait_test, batch_review_test, batch_size_test, batch_outage_test, batch_rack_test and batch_place_test pass (virtual time, arm64).

--- a/batch/leases.c
+++ b/batch/leases.c
@@ -114,19 +114,41 @@
     w->heard_since_ms = now_ms;
 }
 
-/* Notes that a list that W made at CLOCK_MS of its clock has arrived at NOW_MS, before
-   clock_ms is updated. By the clock, which is up to 2% slow, it may have been made
-   earlier, and have waited while this process was paused: leases count from the time at
-   which it was made. */
+/* Notes that the lists of REPORT, which W made, have arrived at NOW_MS, before clock_ms
+   is updated. They may have been made earlier, and have waited while this process was
+   paused: leases count from the time at which they were made. That is no later than the
+   time at which the last ones were made and what has passed since then, by the worker's
+   clock, which is up to 2% slow, or by its agent's. The worker's clock stands still
+   while the instance is suspended, the agent's does not. */
 void
-note_listed_time (worker_t *w, uint64_t clock_ms, cb_msec_t now_ms)
+note_listed_time (worker_t *w, const Cb__WorkerReport *report, cb_msec_t now_ms)
 {
-  double since_ms = (double)(clock_ms - w->clock_ms) * LEASE_SLACK;
+  uint64_t worker_ms = report->clock_ms - w->clock_ms;
+  uint64_t agent_ms = report->agent_clock_ms - w->agent_clock_ms;
+  double since_ms = (double)MAX (worker_ms, agent_ms) * LEASE_SLACK;
+  gboolean known = w->clock_ms != 0 && w->agent_clock_ms != 0 &&
+                   report->agent_clock_ms >= w->agent_clock_ms;
 
-  if (w->clock_ms == 0 || since_ms >= (double)(now_ms - w->listed_ms))
+  if (!known || since_ms >= (double)(now_ms - w->listed_ms))
     w->listed_ms = now_ms;
   else
     w->listed_ms += (cb_msec_t)since_ms + 1;
+  w->agent_clock_ms = report->agent_clock_ms;
+}
+
+/* Notes what is left, by the clock of W's latest lists, of the lease that it has been
+   granted: more than expected when the clock has stood still since. */
+void
+note_lease_left (const cb_batch_t *b, worker_t *w)
+{
+  uint64_t end_ms = w->granted_clock_ms + (uint64_t)b->params.hold_max_ms;
+  double left_ms;
+
+  if (w->granted_clock_ms == 0 || end_ms <= w->clock_ms)
+    return;
+  left_ms = (double)(end_ms - w->clock_ms) * LEASE_SLACK;
+  w->lease_end_ms =
+      MAX (w->lease_end_ms, w->listed_ms + (cb_msec_t)left_ms + LEASE_MARGIN_MS);
 }
 
 /* TRUE when one of FROM's runs should have been started, or ended, by W, and W's lists
--- a/batch/local.h
+++ b/batch/local.h
@@ -172,6 +172,7 @@
   cb_msec_t reported_ms;     /* when the latest report with new lists arrived */
   cb_msec_t listed_ms;       /* when the worker made these lists, at the latest */
   cb_msec_t lease_end_ms;    /* when every lease granted to the worker has expired */
+  uint64_t agent_clock_ms;   /* of its agent, in the latest report with new lists */
   uint64_t granted_clock_ms; /* the worker's clock from which its lease counts */
   uint64_t last_durable_end; /* its ends up to this number are in the log */
   gboolean ended_partial;    /* it may have more ends than the latest report lists */
@@ -395,7 +396,8 @@
 void reset_lease (const cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
 void withdraw_lease_proposals (const cb_batch_t *b, const Cb__BatchLeases *leases);
 void note_heard (worker_t *w, cb_msec_t now_ms);
-void note_listed_time (worker_t *w, uint64_t clock_ms, cb_msec_t now_ms);
+void note_listed_time (worker_t *w, const Cb__WorkerReport *report, cb_msec_t now_ms);
+void note_lease_left (const cb_batch_t *b, worker_t *w);
 gboolean grant_lease (cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
 void note_turn (cb_batch_t *b, cb_msec_t now_ms);
 void check_grants (cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
--- a/batch/report.c
+++ b/batch/report.c
@@ -460,10 +460,11 @@
       if (!w->reporting)
         w->lease_end_ms = MAX (w->lease_end_ms, latest_lease_end (b, now_ms));
       note_heard (w, now_ms);
-      note_listed_time (w, report->clock_ms, now_ms);
+      note_listed_time (w, report, now_ms);
       w->reporting = TRUE;
       w->clock_ms = report->clock_ms;
       w->reported_ms = now_ms;
+      note_lease_left (b, w);
       update_address (b, w, report->address);
       if (report->address[0] != '\0' && !was_ended (b, w))
         mark_ended_at_address (b, agent, w);
--- a/cmd/batch_agent_heartbeat.c
+++ b/cmd/batch_agent_heartbeat.c
@@ -88,6 +88,7 @@
       if (descriptions_differ (report, next))
         log_description (agent, worker, next);
       next->clock_ms = report->clock_ms;
+      next->agent_clock_ms = report->agent_clock_ms;
       next->running = report->running;
       next->n_running = report->n_running;
       next->ended = report->ended;
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -140,7 +140,8 @@
   send_report (agent, FALSE);
 }
 
-/* Moves the lists of FROM to TO, whose old lists are freed, and copies the clock. */
+/* Moves the lists of FROM, which have just arrived, to TO, whose old lists are freed,
+   and copies the clock. */
 static void
 move_lists (Cb__WorkerReport *to, Cb__WorkerReport *from)
 {
@@ -158,6 +159,7 @@
   to->unread_end = from->unread_end;
   to->running_unread = from->running_unread;
   to->clock_ms = from->clock_ms;
+  to->agent_clock_ms = (uint64_t)cb_batch_now_ms ();
   from->running = NULL;
   from->n_running = 0;
   from->ended = NULL;
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -3755,7 +3755,7 @@
   (ProtobufCMessageInit) cb__ended_worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__worker_report__field_descriptors[23] =
+static const ProtobufCFieldDescriptor cb__worker_report__field_descriptors[24] =
 {
   {
     "worker",
@@ -4033,11 +4033,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agent_clock_ms",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cb__WorkerReport, agent_clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__worker_report__field_indices_by_name[] = {
   15,   /* field[15] = absent */
   9,   /* field[9] = accelerators */
   20,   /* field[20] = address */
+  23,   /* field[23] = agent_clock_ms */
   3,   /* field[3] = availability_zone */
   1,   /* field[1] = born_ms */
   11,   /* field[11] = clock_ms */
@@ -4062,7 +4075,7 @@
 static const ProtobufCIntRange cb__worker_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor cb__worker_report__descriptor =
 {
@@ -4072,7 +4085,7 @@
   "Cb__WorkerReport",
   "cb",
   sizeof(Cb__WorkerReport),
-  23,
+  24,
   cb__worker_report__field_descriptors,
   cb__worker_report__field_indices_by_name,
   1,  cb__worker_report__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -722,10 +722,14 @@
    * the worker has dropped ends that its agent has not read
    */
   protobuf_c_boolean ends_missed;
+  /*
+   * time since the instance's boot when the lists arrived, suspension included; 0: unknown
+   */
+  uint64_t agent_clock_ms;
 };
 #define CB__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__worker_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
 
 
 struct  Cb__PlatformSettings
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -505,7 +505,7 @@
     run.run = number;
     run.start_ms = now;
     run.end_ms = now + length_ms;
-    w.lease_ms = static_cast<uint64_t> (now + params.hold_max_ms);
+    w.lease_ms = static_cast<uint64_t> (w.ClockMs (now) + params.hold_max_ms);
     w.running[task] = run;
   }
 
@@ -574,7 +574,7 @@
   void
   AdvanceTasks (Worker &w)
   {
-    if (static_cast<uint64_t> (now) > w.lease_ms)
+    if (static_cast<uint64_t> (w.ClockMs (now)) > w.lease_ms)
       while (!w.running.empty ())
         EndRun (w, w.running.begin ()->first, CB__RUN_END__RUN_LAPSED, "");
     for (auto &r : w.running)
@@ -635,7 +635,7 @@
     for (const LateStart &l : due)
       for (auto &w : workers)
         if (w->up && w->id == l.worker && l.epoch >= w->fence &&
-            l.lease_ms > static_cast<uint64_t> (now))
+            l.lease_ms > static_cast<uint64_t> (w->ClockMs (now)))
           {
             auto rejected = w->rejected;
             w->lease_ms = std::max (w->lease_ms, l.lease_ms);
--- a/test/batch_lease_test.cc
+++ b/test/batch_lease_test.cc
@@ -299,6 +299,38 @@
   EXPECT_EQ (sim.Running ("j"), 1);
 }
 
+// Guards against a lease that ends too early for a worker whose instance was suspended:
+// its clock did not run, and each later lease was counted as so much older.
+TEST (BatchLease, LeaseAfterASuspensionOfTheWorkerIsNotCountedTooShort)
+{
+  BatchSimulation sim (2, 3);
+
+  Worker *w = StartAndCutOff (sim, 60000, 5000);
+  ASSERT_NE (w, nullptr);
+  w->suspended_ms = 5000;
+  w->reachable = true;
+  sim.Advance (3000);
+  w->reachable = false;
+  sim.Advance (5500);
+  EXPECT_EQ (w->running.count ("j.0.0.0"), 1u);
+  EXPECT_EQ (sim.Running ("j"), 1);
+}
+
+// Guards against the same for the lease that was in force during the suspension, when
+// the worker becomes silent before it has a new one.
+TEST (BatchLease, LeaseDuringASuspensionOfTheWorkerLastsLonger)
+{
+  BatchSimulation sim (2, 3);
+
+  Worker *w = StartAndCutOff (sim, 60000, 5000);
+  ASSERT_NE (w, nullptr);
+  w->suspended_ms = 5000;
+  sim.HandleReport (w->agent, *w);
+  sim.Advance (5500);
+  EXPECT_EQ (w->running.count ("j.0.0.0"), 1u);
+  EXPECT_EQ (sim.Running ("j"), 1);
+}
+
 // Guards against a wait for leases that a scheduler which has resigned cannot grant.
 TEST (BatchLease, AfterAHandOverOnlyTheLeaseIsWaitedFor)
 {
--- a/test/batch_worker.h
+++ b/test/batch_worker.h
@@ -80,6 +80,7 @@
   bool rejects_starts = false;      // every start
   cb_msec_t starts_late_ms = 0;     // starts are executed so much later
   bool stalled = false;             // its tasks make no progress
+  cb_msec_t suspended_ms = 0;       // its instance has been: its clock did not run
   bool reports_no_progress = false; // they make progress, but it reports none
   bool fails_all = false;           // every run fails kFailAfterMs after its start
   uint64_t lease_ms = 0;
@@ -100,6 +101,12 @@
   std::set<std::string> rejected; // of TASK/RUN, as is `absent`
   std::set<std::string> absent;
 
+  // Returns the worker's steady clock at NOW, on which its lease is measured.
+  cb_msec_t
+  ClockMs (cb_msec_t now) const
+  {
+    return now - suspended_ms;
+  }
   // Returns the latency of the serving tasks in ms.
   uint32_t
   ServingLatency () const
@@ -173,7 +180,8 @@
     for (const std::string &label : { kind, rack })
       cb_msg_append (reinterpret_cast<void ***> (&report->labels), &report->n_labels,
                      strdup (label.c_str ()));
-    report->clock_ms = static_cast<uint64_t> (now);
+    report->clock_ms = static_cast<uint64_t> (ClockMs (now));
+    report->agent_clock_ms = static_cast<uint64_t> (now);
     const uint32_t latency = ServingLatency ();
     // Of its final size at once: with the sanitizer each append copies the list.
     report->running = static_cast<Cb__RunningTask **> (
