Start nothing on the next incarnation of a worker under its last lease

What callers would see: a task runs on two workers at the same time; neither start is a late one.

Cause: a start carries the end of the lease, a time on the worker's clock, so that an expired one is rejected. A worker that crashes and starts again under its id has a clock that begins anew: there an old deadline lies far ahead. An agent that was paused, or whose worker had restarted before it knew, sent the start that it had received before: the scheduler had counted the lease of the earlier incarnation, taken the run as lost and started the task elsewhere.

Change: the agent keeps the end of the lease on its own clock as well, counted from the call that returned the worker's clock, and sends starts only before that end, while the worker's calls succeed and the incarnation has responded to a call of the last moments. After a pause it hears from the worker first.

What remains: a worker that restarts between two calls of its agent, within about two seconds, may still get such a start.

--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -13,6 +13,8 @@
 /* An unchanged report is sent again after this time, unless the scheduler states
    another interval. */
 #define CB_AGENT_REPORT_INTERVAL_MS 450
+/* Timeout of a call for the worker's lists, beyond the wait that it asks for. */
+#define CB_AGENT_CALL_TIMEOUT_MS 900
 /* A row of the worker's lists that cannot be read holds back conclusions from the
    absence of other runs for this long. */
 #define CB_AGENT_UNREAD_ROW_MAX_MS 6000
@@ -70,6 +72,10 @@
   uint64_t last_born_ms;       /* one; NULL: none */
 
   uint64_t lease_until_ms;   /* clock of the worker; 0: no lease */
+  cb_msec_t lease_end_ms;    /* the same on the agent's clock, at the latest */
+  cb_msec_t lists_asked_ms;  /* when the call was sent that returned the lists */
+  cb_msec_t confirmed_ms;    /* when the latest call was sent to which the incarnation
+                                that the agent has responded */
   uint64_t last_durable_end; /* readable ends up to this number are in the log */
   uint64_t acknowledged_end; /* the worker has been told to drop ends up to this one */
   GHashTable *commands;      /* key -> command_t of batch_agent_orders.c */
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -303,9 +303,24 @@
     cb_worker_start (agent->loop, &target, command->start, on_worker_reply, command);
 }
 
+/* TRUE when a start may be sent at NOW_MS: the worker has a lease, and the incarnation
+   that has it was there a moment ago. The next one under the same id would accept the
+   start, too, and take the end of the lease for a time on its own clock, which begins
+   anew: the agent may have been paused, or the worker have restarted, since the start
+   was ordered. */
+static gboolean
+may_start (const cb_batch_agent_t *agent, cb_msec_t now_ms)
+{
+  /* The latest response may be that to the call before the one under way. */
+  cb_msec_t age_max_ms = 2 * agent->report_interval_ms + CB_AGENT_CALL_TIMEOUT_MS;
+
+  return agent->lease_end_ms > now_ms && !agent->worker_unreachable &&
+         now_ms - agent->confirmed_ms <= age_max_ms;
+}
+
 /* Sends the open commands whose retry pause is over, in their order and at most
-   CALLS_MAX at a time, but starts only after a scheduler has granted a lease. Sends
-   nothing when the worker has refused the current epoch. */
+   CALLS_MAX at a time, but starts only under a lease. Sends nothing when the worker has
+   refused the current epoch. */
 void
 cb_batch_agent_send_commands (cb_batch_agent_t *agent)
 {
@@ -320,7 +335,8 @@
       command_t *command = agent->command_order->pdata[i];
 
       if (command->state == COMMAND_OPEN && now_ms >= command->retry_ms &&
-          (command->kind != KIND_START || agent->lease_until_ms > 0))
+          (command->kind != KIND_START || command->revoked ||
+           may_start (agent, now_ms)))
         send_command (agent, command);
     }
 }
@@ -379,6 +395,20 @@
   return !g_hash_table_contains (wanted, key);
 }
 
+/* Extends the lease to UNTIL_MS on the worker's clock, if that is later. On the agent's
+   clock it ends no later than counted from the call that returned the worker's lists,
+   which show the worker's clock. */
+static void
+extend_lease (cb_batch_agent_t *agent, uint64_t until_ms)
+{
+  uint64_t clock_ms = agent->report->clock_ms;
+
+  agent->lease_until_ms = MAX (agent->lease_until_ms, until_ms);
+  if (until_ms > clock_ms)
+    agent->lease_end_ms = MAX (
+        agent->lease_end_ms, agent->lists_asked_ms + (cb_msec_t)(until_ms - clock_ms));
+}
+
 /* Takes over the commands of a scheduler's message, to be sent in its order but stops
    first, and its lease, if that ends later than the present lease. Withdraws the
    commands that the message does not contain and sends all that are due. Ignores a
@@ -397,7 +427,7 @@
                 agent->report->born_ms);
       return;
     }
-  agent->lease_until_ms = MAX (agent->lease_until_ms, message->lease_until_ms);
+  extend_lease (agent, message->lease_until_ms);
   agent->last_durable_end = MAX (agent->last_durable_end, message->last_seen);
   wanted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_ptr_array_set_size (agent->command_order, 0);
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -91,6 +91,7 @@
   uint64_t incarnation_ms; /* start time of the worker process, wall clock */
   uint64_t epoch;
   uint64_t number; /* agent->poll_number when it was sent */
+  cb_msec_t sent_ms;
 } poll_t;
 
 /* Returns TRUE when the agent has the description of a worker, from the worker's
@@ -181,6 +182,8 @@
   cb_msg_free (agent->report);
   agent->report = cb_msg_new (&cb__worker_report__descriptor);
   agent->lease_until_ms = 0;
+  agent->lease_end_ms = 0;
+  agent->confirmed_ms = 0;
   agent->last_durable_end = 0;
   agent->acknowledged_end = 0;
   agent->reported_end = 0;
@@ -262,6 +265,7 @@
             newest_end (lists) > agent->reported_end;
   agent->lists_epoch = poll->epoch;
   agent->lists_poll_number = poll->number;
+  agent->lists_asked_ms = poll->sent_ms;
   move_lists (agent->report, lists);
   cb_batch_agent_resolve_commands (agent, poll->number);
   changed = changed || rejected != agent->report->n_rejected ||
@@ -338,6 +342,7 @@
   else if (err == CB_OK && current)
     {
       confirmed = TRUE;
+      agent->confirmed_ms = poll->sent_ms;
       if (poll->epoch == agent->epoch)
         apply_lists (agent, poll, (Cb__WorkerReport *)lists);
     }
@@ -422,6 +427,7 @@
   poll->incarnation_ms = agent->report->born_ms;
   poll->epoch = agent->epoch;
   poll->number = ++agent->poll_number;
+  poll->sent_ms = cb_batch_now_ms ();
   agent->poll_pending = TRUE;
   agent->poll_epoch = agent->epoch;
   agent->poll_durable_end = droppable_end (agent);
