Do not take a refused connection as the end of a worker that leaves

What callers would see: all tasks of a worker that leaves run twice at the same time. Whether the users' workers end like this is not known.

Cause: after a worker's notice that it ends, its agent took the first refused connection as proof that its process had ended, and the scheduler gave up its runs at once; likewise when another worker was announced while the draining one refused connections, as in each release. A server that shuts down closes its socket first and ends its work after that.

Change: a refused connection ends the runs of a worker only if it has stated nothing before, which is a crash. The runs of one that drains or leaves end by its own word or wait for its lease. So that they need not wait, the agent stops the runs of a draining worker when the notice arrives, and answers it once they have stopped, within 0.8 s; their progress is kept, too.

Failed before: PlatformLease.WorkerThatLeavesAndRefusesConnectionsMayStillRunItsTasks ("ran twice at the same time"), RunsOfAWorkerThatLeavesAreStoppedBeforeItsNoticeIsAnswered (the task never moved while its worker went on); in virtual time BatchLease.RunsOfAWorkerThatHasLeftWaitForItsLease guards the scheduler's side (not run on the code before).

--- a/batch/report.c
+++ b/batch/report.c
@@ -91,15 +91,19 @@
     }
 }
 
-/* TRUE when REPORT states that the process of W has ended, and is not itself a report
-   of W. */
+/* TRUE when REPORT is one of W. */
+static gboolean
+is_report_of (const worker_t *w, const Cb__WorkerReport *report)
+{
+  return strcmp (w->id, report->worker) == 0 && w->incarnation_ms == report->born_ms;
+}
+
+/* TRUE when REPORT states that the process of W has ended. */
 static gboolean
 is_stated_as_ended (const worker_t *w, const Cb__WorkerReport *report)
 {
   gboolean stated = FALSE;
 
-  if (strcmp (w->id, report->worker) == 0 && w->incarnation_ms == report->born_ms)
-    return FALSE;
   for (size_t i = 0; i < report->n_ended_workers && !stated; i++)
     stated = strcmp (w->id, report->ended_workers[i]->worker) == 0 &&
              w->incarnation_ms == report->ended_workers[i]->born_ms;
@@ -117,7 +121,7 @@
     {
       worker_t *w = workers->pdata[i];
 
-      if (!w->ended && is_stated_as_ended (w, report))
+      if (!w->ended && !is_report_of (w, report) && is_stated_as_ended (w, report))
         mark_ended (b, w, "ended");
     }
 }
@@ -437,7 +441,7 @@
   if (report->worker[0] == '\0')
     return;
   w = get_worker (b, report->worker, report->born_ms, agent);
-  if (report->left)
+  if (report->left && is_stated_as_ended (w, report))
     note_ended (b, w);
   use_again_if_alive (b, w, report);
   if (w->terminated)
--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -131,6 +131,7 @@
       now_ms - agent->registration_ms > agent->registration_pause_ms &&
       now_ms - agent->last_commands_ms > REGISTER_SILENCE_MS)
     register_agent (agent);
+  cb_batch_agent_answer_leave (agent);
   cb_batch_agent_poll_worker (agent);
   if (agent->term_ms == 0)
     cb_batch_agent_send_commands (agent);
--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -51,6 +51,10 @@
   cb_msec_t lower_since_ms;     /* since when such numbers have been rising */
   uint32_t announcements;       /* announced workers that are being asked */
   gboolean leaving;             /* notice that the worker ends; it may still respond */
+  cb_http_req_t *leave_request; /* the notice, not answered yet; NULL: none */
+  cb_msec_t leave_answer_ms;    /* when it is answered at the latest */
+  uint32_t leave_stops;         /* calls under way that stop runs because of it */
+  uint64_t leave_poll_number;   /* poll_number when the last of them ended */
   uint64_t lists_epoch;         /* epoch under which the lists were read; 0: none */
   uint64_t lists_poll_number;   /* poll_number of the call that returned the lists */
   GHashTable *shown_runs;       /* in the reports since the last one with all runs */
@@ -99,6 +103,7 @@
 void cb_batch_agent_send_commands (cb_batch_agent_t *agent);
 void cb_batch_agent_set_commands (cb_batch_agent_t *agent,
                                   const Cb__WorkerOrders *message);
+void cb_batch_agent_stop_runs (cb_batch_agent_t *agent);
 
 /* batch_agent_worker.c */
 gboolean cb_batch_agent_has_worker (const cb_batch_agent_t *agent);
@@ -111,6 +116,7 @@
 GPtrArray *cb_batch_agent_ended_workers_new (void);
 void cb_batch_agent_drop_ended_worker (cb_batch_agent_t *agent, const char *worker);
 void cb_batch_agent_forget_ended_worker (cb_batch_agent_t *agent, const char *reason);
+void cb_batch_agent_forget_left_worker (cb_batch_agent_t *agent, const char *reason);
 
 /* batch_agent_unread.c */
 void cb_batch_agent_unread_init (cb_batch_agent_t *agent);
@@ -119,6 +125,7 @@
 
 /* batch_agent_heartbeat.c */
 void cb_batch_agent_on_control (void *ctx, cb_http_req_t *req);
+void cb_batch_agent_answer_leave (cb_batch_agent_t *agent);
 
 G_END_DECLS
 
--- a/cmd/batch_agent_heartbeat.c
+++ b/cmd/batch_agent_heartbeat.c
@@ -12,6 +12,9 @@
 /* A worker that sends no heartbeats for this long is not that of the agent's instance
    if another one announces itself there. */
 #define HEARTBEATS_MISSED_MS 10000
+/* The answer to the notice that the worker ends waits this long for its runs to stop: a
+   stop takes up to 400 ms, and workers count an answer as missing after a second. */
+#define LEAVE_ANSWER_MS 800
 
 /* TRUE when the agent has heard of something newer than the heartbeat NEXT number
    SEQUENCE of WORKER: a later incarnation of this worker, or a later heartbeat of this
@@ -174,9 +177,18 @@
   free_announcement (a);
 }
 
+/* TRUE when the present worker has stated that it will end. */
+static gboolean
+is_ending (const cb_batch_agent_t *agent)
+{
+  return agent->report->draining || agent->leaving;
+}
+
 /* The present worker's reply while another one is announced. An instance has one
-   worker: unless the present one is known to have ended, or sends no heartbeats here
-   and so is that of another instance, another writer has announced the other. */
+   worker: unless the present one has ended or is about to, or sends no heartbeats here
+   and so is that of another instance, another writer has announced the other. A worker
+   that refuses connections has ended, unless it has stated that it will: then it may
+   have closed its socket before it ends its runs. */
 static void
 on_present_lists (void *ctx, int err, const Cb__WorkerReport *lists)
 {
@@ -184,7 +196,7 @@
   cb_batch_agent_t *agent = a->agent;
   uint64_t born_ms = lists == NULL ? 0 : lists->born_ms;
   gboolean responds = err == CB_OK || err == CB_PLATFORM_FENCED;
-  gboolean ended = err == CB_PLATFORM_REPLACED || err == CB_PLATFORM_ABSENT;
+  gboolean gone = err == CB_PLATFORM_REPLACED || err == CB_PLATFORM_ABSENT;
 
   if (strcmp (agent->report->worker, a->present) != 0 ||
       agent->report->born_ms != a->present_born_ms ||
@@ -193,13 +205,15 @@
       reject_announced (a, "outdated", err, born_ms);
       return;
     }
-  if (!ended && cb_batch_now_ms () - agent->heartbeat_ms < HEARTBEATS_MISSED_MS)
+  if (!gone && cb_batch_now_ms () - agent->heartbeat_ms < HEARTBEATS_MISSED_MS)
     {
       reject_announced (a, responds ? "present_responds" : "present_silent", err,
                         born_ms);
       return;
     }
-  if (ended)
+  if (err == CB_PLATFORM_ABSENT && is_ending (agent))
+    cb_batch_agent_forget_left_worker (agent, "left");
+  else if (gone)
     cb_batch_agent_forget_ended_worker (agent, "replaced");
   use_announced (a);
 }
@@ -280,10 +294,51 @@
          g_strcmp0 (agent->worker_address, address) == 0;
 }
 
+/* TRUE when the worker's lists, requested after its runs were stopped, show none. */
+static gboolean
+has_stopped_all (const cb_batch_agent_t *agent)
+{
+  return agent->leave_stops == 0 &&
+         agent->lists_poll_number > agent->leave_poll_number &&
+         agent->report->n_running == 0;
+}
+
+/* Answers the notice that the worker ends once its runs have stopped, or the wait for
+   that is over. */
+void
+cb_batch_agent_answer_leave (cb_batch_agent_t *agent)
+{
+  cb_http_req_t *req = agent->leave_request;
+
+  if (req == NULL || (agent->leaving && !has_stopped_all (agent) &&
+                      cb_batch_now_ms () < agent->leave_answer_ms))
+    return;
+  agent->leave_request = NULL;
+  cb_http_reply (req, 200, "application/json", "{}", 2);
+}
+
+/* Stops the runs of a worker that drains and is about to end, so that their ends and
+   progress are known, and lets the notice REQ wait for that. Returns FALSE when there
+   is nothing to wait for. */
+static gboolean
+stop_before_end (cb_batch_agent_t *agent, cb_http_req_t *req)
+{
+  if (!agent->report->draining || agent->leave_request != NULL)
+    return FALSE;
+  cb_batch_agent_stop_runs (agent);
+  if (agent->leave_stops == 0)
+    return FALSE;
+  agent->leave_request = req;
+  agent->leave_answer_ms = cb_batch_now_ms () + LEAVE_ANSWER_MS;
+  return TRUE;
+}
+
 /* Handles the notice that the worker ends: it gets no more starts. The notice need not
    say which incarnation it is from, and may be a delayed one, so the worker counts as
-   ended only once nobody listens at its address (on_lists). */
-static void
+   gone only once nobody listens at its address (on_lists), and its runs are stopped
+   only if it has stated before that it drains. Returns TRUE when REQ is answered later.
+ */
+static gboolean
 on_worker_leaving (cb_batch_agent_t *agent, cb_http_req_t *req, const char *worker)
 {
   size_t len;
@@ -297,12 +352,14 @@
       cb_event (CB_LOG_INFO, "agent", "leave_ignored",
                 "worker=%s born_ms=%" PRIu64 " current=%s current_born_ms=%" PRIu64,
                 worker, born_ms, agent->report->worker, agent->report->born_ms);
-      return;
+      return FALSE;
     }
   agent->leaving = TRUE;
   cb_event_unlimited (CB_LOG_INFO, "agent", "worker_leaving",
-                      "worker=%s born_ms=%" PRIu64, worker, agent->report->born_ms);
+                      "worker=%s born_ms=%" PRIu64 " runs=%zu", worker,
+                      agent->report->born_ms, agent->report->n_running);
   cb_batch_agent_poll_worker (agent);
+  return stop_before_end (agent, req);
 }
 
 /* TRUE when the worker counts on below the newest sequence number, so that the
@@ -366,16 +423,18 @@
   cb_batch_agent_t *agent = ctx;
   char *worker = NULL;
   gboolean leaving = FALSE;
+  gboolean answered_later = FALSE;
   int status = 404;
 
   if (cb_platform_is_worker_message (req, &worker, &leaving))
     {
       status = 200;
       if (leaving)
-        on_worker_leaving (agent, req, worker);
+        answered_later = on_worker_leaving (agent, req, worker);
       else
         status = on_heartbeat (agent, req, worker);
     }
-  cb_http_reply (req, status, "application/json", "{}", 2);
+  if (!answered_later)
+    cb_http_reply (req, status, "application/json", "{}", 2);
   g_free (worker);
 }
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -341,6 +341,46 @@
     }
 }
 
+static void
+on_run_stopped (void *ctx, int err, const char *reason)
+{
+  cb_batch_agent_t *agent = ctx;
+
+  (void)reason;
+  if (err < 0)
+    cb_batch_agent_count_call (agent, kinds[KIND_STOP].name, err, 0);
+  if (--agent->leave_stops == 0)
+    agent->leave_poll_number = agent->poll_number;
+}
+
+static void
+stop_run (cb_batch_agent_t *agent, const Cb__TaskRun *run)
+{
+  cb_worker_target_t target = cb_batch_agent_worker_target (agent);
+
+  if (agent->leave_stops == CALLS_MAX)
+    return;
+  agent->leave_stops++;
+  cb_worker_stop (agent->loop, &target, run, on_run_stopped, agent);
+}
+
+/* Asks the worker, which is about to end, to stop the runs that its lists show and
+   those whose starts have been sent, up to CALLS_MAX in all. */
+void
+cb_batch_agent_stop_runs (cb_batch_agent_t *agent)
+{
+  for (size_t i = 0; i < agent->report->n_running; i++)
+    stop_run (agent, agent->report->running[i]->run);
+  for (guint i = 0; i < agent->command_order->len; i++)
+    {
+      const command_t *command = agent->command_order->pdata[i];
+
+      if (command->kind == KIND_START && command->tried &&
+          !is_listed (agent, command->run))
+        stop_run (agent, command->run);
+    }
+}
+
 /* Adds a command unless the agent already has it, appends it to the order of sending,
    and adds its key to the set WANTED. PERCENT distinguishes the pace commands of a run;
    0 for other kinds. Returns the new command, or NULL. */
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -10,6 +10,9 @@
 /* Largest number of them in a report; the oldest ones are dropped. */
 #define ENDED_WORKERS_MAX 16
 
+/* Longest time for which a worker that is about to end holds a call for its lists. */
+#define LEAVING_HOLD_MS 50
+
 static void poll_worker (cb_batch_agent_t *agent, gboolean confirmed);
 
 /* A worker of the agent whose process is known to have ended. */
@@ -201,10 +204,19 @@
    the reports from then on, as the scheduler may be replaced before it acts. */
 void
 cb_batch_agent_forget_ended_worker (cb_batch_agent_t *agent, const char *reason)
+{
+  keep_ended_worker (agent);
+  cb_batch_agent_forget_left_worker (agent, reason);
+}
+
+/* As cb_batch_agent_forget_worker, for a worker that has announced its end and accepts
+   no connections any more: tells the scheduler, which gives it no more work. Its runs
+   may go on until its process has ended, or until the end of its lease. */
+void
+cb_batch_agent_forget_left_worker (cb_batch_agent_t *agent, const char *reason)
 {
   agent->report->left = TRUE;
   cb_batch_agent_send_report (agent);
-  keep_ended_worker (agent);
   cb_batch_agent_forget_worker (agent, reason);
 }
 
@@ -355,7 +367,7 @@
   else if (err == CB_PLATFORM_REPLACED && current)
     cb_batch_agent_forget_ended_worker (agent, "replaced");
   else if (err == CB_PLATFORM_ABSENT && agent->leaving && current)
-    cb_batch_agent_forget_ended_worker (agent, "left");
+    cb_batch_agent_forget_left_worker (agent, "left");
   if ((err < 0) != agent->worker_unreachable)
     cb_event_unlimited (CB_LOG_INFO, "agent",
                         err < 0 ? "worker_unreachable" : "worker_reached",
@@ -363,6 +375,7 @@
   agent->worker_unreachable = err < 0;
   agent->poll_retry_ms = err < 0 ? cb_batch_now_ms () + CB_AGENT_RETRY_MS : 0;
   free_poll (poll);
+  cb_batch_agent_answer_leave (agent);
   poll_worker (agent, confirmed);
 }
 
@@ -391,7 +404,8 @@
 }
 
 /* Returns how long the worker may hold the next call for its lists until a run ends: at
-   most until the next report of all runs is due. */
+   most until the next report of all runs is due, and not for long while the worker
+   waits for the answer to the notice that it ends. */
 static cb_msec_t
 hold_ms (const cb_batch_agent_t *agent)
 {
@@ -399,6 +413,8 @@
 
   if (agent->lists_epoch != agent->epoch || more_ends_wait (agent))
     return 0;
+  if (agent->leave_request != NULL)
+    return LEAVING_HOLD_MS;
   return agent->report_interval_ms -
          (since_ms < agent->report_interval_ms ? since_ms : 0);
 }
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -6,6 +6,7 @@
    The trace has `run_start` and `run_end` for each run of a task, and `end_seen` when
    the end of a run was acknowledged and the lease has not expired since that end.
    On SIGTERM it reports the state "draining", and exits after DRAIN_MS.
+   With --announce its heartbeats name another address than the one it listens on.
    Fault modes: `silent`: calls get no reply and have no effect. `odd_end`: lists show
    the oldest end with a value that cannot be read. `late`: starts get no reply and are
    carried out LATE_MS later, unless they would be refused by then. `room`: starts of
@@ -79,6 +80,7 @@
 {
   cb_fake_t fake;
   const char *listen;
+  const char *announced; /* address in the heartbeats */
   const char *agent;
   const char *id;
   const char *service;
@@ -452,7 +454,7 @@
   gboolean draining = r->draining_ms != 0 || cb_fake_mode_active (&r->fake, "draining");
   json_t *body =
       json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
-                 "service", r->service, "address", r->listen, "zone", "z", "version",
+                 "service", r->service, "address", r->announced, "zone", "z", "version",
                  "v1", "slots", 8, "state", draining ? "draining" : "ready", "capacity",
                  "cpu", CPU_MILLI, "memMb", MEMORY_MB, "gpu", r->accelerators, "labels",
                  "a", r->rack, "clockMs", (json_int_t)now (), "seq",
@@ -571,6 +573,9 @@
     case 'k':
       a->runner->tickets = TRUE;
       return 0;
+    case 'n':
+      a->runner->announced = arg;
+      return 0;
     case 'f':
       a->runner->first_heartbeat_ms = g_ascii_strtoll (arg, NULL, 10);
       return 0;
@@ -591,6 +596,7 @@
     { "id", 'i', "NAME", 0, "name of the worker", 0 },
     { "rack", 'r', "NAME", 0, "rack of the worker (r1)", 0 },
     { "tickets", 'k', NULL, 0, "refuse starts without a ticket of the advisor", 0 },
+    { "announce", 'n', "ADDRESS", 0, "address in heartbeats (that of --listen)", 0 },
     { "first-heartbeat", 'f', "MS", 0, "delay of the first heartbeat (0)", 0 },
     { 0 },
   };
@@ -611,6 +617,8 @@
       cb_fake_open (&r.fake, &arguments.params) < 0)
     return 2;
   r.listen = arguments.params.listen;
+  if (r.announced == NULL)
+    r.announced = r.listen;
   r.start_wall_ms = cb_clock_wall (cb_clock_system ());
   r.highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&r.runs);
--- a/test/batch_lease_test.cc
+++ b/test/batch_lease_test.cc
@@ -331,6 +331,26 @@
   EXPECT_EQ (sim.Running ("j"), 1);
 }
 
+// Guards against a task that runs twice, as its worker has announced its end and does
+// not respond any more, but has not ended its runs yet.
+TEST (BatchLease, RunsOfAWorkerThatHasLeftWaitForItsLease)
+{
+  BatchSimulation sim (2, 3);
+
+  Worker *w = StartAndCutOff (sim, 60000, 0);
+  ASSERT_NE (w, nullptr);
+  Cb__WorkerReport *report = w->NewReport (sim.now);
+  report->left = TRUE;
+  cb_batch_handle_report (sim.primary, w->agent.c_str (), report, sim.now);
+  cb_msg_free (report);
+  sim.Advance (5500);
+  EXPECT_EQ (w->running.count ("j.0.0.0"), 1u);
+  EXPECT_EQ (sim.Running ("j"), 1);
+  sim.Advance (1500);
+  EXPECT_EQ (w->running.count ("j.0.0.0"), 0u);
+  EXPECT_EQ (sim.Running ("j"), 1);
+}
+
 // Guards against a wait for leases that a scheduler which has resigned cannot grant.
 TEST (BatchLease, AfterAHandOverOnlyTheLeaseIsWaitedFor)
 {
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -136,6 +136,7 @@
   first->running.clear ();
   Cb__WorkerReport *report = first->NewReport (sim.now);
   report->left = TRUE;
+  first->AddEndedWorker (report);
   cb_batch_handle_report (sim.primary, first->agent.c_str (), report, sim.now);
   cb_msg_free (report);
   sim.Advance (300);
--- a/test/platform_lease_test.cc
+++ b/test/platform_lease_test.cc
@@ -1,5 +1,8 @@
-// Checks real entries and agents, with stand-ins for the users' platform, in what is
-// done under a lease by an agent that was paused until the lease was over.
+// Checks real entries and agents, with stand-ins for the users' platform, in what
+// happens to the runs of a worker when its agent was paused until the end of the lease,
+// and when the worker leaves.
+#include <chrono>
+
 #include "test/platform_site.h"
 
 using site::PlatformSite;
@@ -31,4 +34,73 @@
   site.CheckRuns ();
 }
 
+// Two workers, of which worker 0 runs the task of job 1 and drains. Its agent reaches
+// it through a relay.
+class DrainingWorkerSite : public PlatformSite
+{
+public:
+  DrainingWorkerSite () : PlatformSite (1, 2)
+  {
+  }
+  bool
+  Run ()
+  {
+    std::string relay = FreeAddress ();
+
+    Kill ("runner0");
+    Kill ("runner1");
+    Start ("relay", "carobrun-fake-link", { "--listen", relay, "--to", runners[0] });
+    Start ("runner0", "carobrun-fake-runner",
+           { "--listen", runners[0], "--announce", relay, "--agent", controls[0],
+             "--id", "w0", "--rack", "r0", "--trace", dir_ + "/runner0.trace" });
+    if (!Up () || !Until ([&] { return Logged ("agent0", "address=" + relay); }) ||
+        Submit (0, 1, 1, Job (1, 8, "run 20000")).status != 200 ||
+        !Until ([&] { return Starts (1) == 1; }))
+      return false;
+    Control (runners[0], "{\"mode\":\"draining\"}");
+    StartRunner (1);
+    return Until ([&] {
+      return Logged ("entry0", "event=worker_draining worker=w0 draining=1") &&
+             Logged ("agent1", "event=worker_found worker=w1");
+    });
+  }
+  site::Reply
+  Leave ()
+  {
+    return Call (controls[0], "POST", "/api/instances/w0/leave", "", 2000);
+  }
+};
+
+// Guards against two runs of a task at once: a worker that leaves closes its socket
+// before it ends its runs.
+TEST (PlatformLease, WorkerThatLeavesAndRefusesConnectionsMayStillRunItsTasks)
+{
+  DrainingWorkerSite site;
+
+  ASSERT_TRUE (site.Run ());
+  site.Kill ("relay");
+  EXPECT_EQ (site.Leave ().status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.Logged ("entry0", "why=left"); }));
+  EXPECT_TRUE (site.Until ([&] { return site.Starts (1) == 2; }));
+  EXPECT_EQ (site.Ends (1, "lapsed"), 1);
+  site.CheckRuns ();
+}
+
+// Guards against tasks that wait for the lease of a worker that leaves, with the
+// progress that they have made since their last checkpoint lost.
+TEST (PlatformLease, RunsOfAWorkerThatLeavesAreStoppedBeforeItsNoticeIsAnswered)
+{
+  DrainingWorkerSite site;
+
+  ASSERT_TRUE (site.Run ());
+  auto since = std::chrono::steady_clock::now ();
+  EXPECT_EQ (site.Leave ().status, 200);
+  auto waited_ms = std::chrono::duration_cast<std::chrono::milliseconds> (
+      std::chrono::steady_clock::now () - since);
+  EXPECT_EQ (site.Ends (1, "stopped"), 1);
+  EXPECT_LT (waited_ms.count (), 1000);
+  EXPECT_TRUE (site.Until ([&] { return site.Starts (1) == 2; }));
+  site.CheckRuns ();
+}
+
 } // namespace
--- a/test/platform_worker_test.cc
+++ b/test/platform_worker_test.cc
@@ -634,9 +634,8 @@
   EXPECT_TRUE (site.Until ([&] { return site.State (0, 1, 1) == "completed"; }));
 }
 
-// Guards against tasks that wait for the lease of a worker that has announced its end
-// and has ended.
-TEST (PlatformSite, WorkerThatHasLeftIsReportedAsEnded)
+// Guards against work for a worker that has announced its end and has ended.
+TEST (PlatformSite, WorkerThatHasLeftIsReportedAsLeft)
 {
   PlatformSite site (1, 1);
 
