Void late starts of runs that were taken as lost

A task ran on two workers at once. An agent sent the start of a run and got no answer, and then it was killed, paused or cut off for longer than the lease. The scheduler took the run as lost (`lease_over`) and started the task elsewhere. When the worker reported again it got a new lease, and the first start, which the worker carried out seconds late, began the lost run under that lease.

The end of all leases proves that no run executes, not that no call is on its way. The agent's own revocation of an unanswered start does not help: it is lost when the agent restarts, or when the scheduler's next message does not name the run.

The scheduler now gives a worker with lost runs its next lease under a later epoch of its commands: the offset plus 1 of the record that says that the worker gets leases, which is unique, higher than all epochs before, and lower than that of each later claim. The agent uses it as the fence at the worker, in the same calls that bring the lease, so the worker refuses all calls from before, whatever they order. No list of runs has to be kept or answered. The state is the scheduler's alone: the epoch of a successor is higher in any case. The worker waits for one record of the log, as after leases that were stopped; a worker that returns before its runs are lost keeps the epoch.

--- a/batch/fold.c
+++ b/batch/fold.c
@@ -424,7 +424,7 @@
       apply_moved (b, record->moved);
       return;
     case CB__BATCH_RECORD__BODY_LEASES:
-      apply_leases (b, record->leases, now_ms);
+      apply_leases (b, offset, record->leases, now_ms);
       return;
     case CB__BATCH_RECORD__BODY_BEAT:
       apply_heartbeat (b, record->beat, now_ms);
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -90,6 +90,7 @@
   b->own_epoch = epoch;
   b->proposed_lease_number = b->lease_number;
   g_hash_table_remove_all (b->ended_workers);
+  reset_command_epochs (b);
   b->scheduler_since_ms = now_ms;
   b->fleet_known = FALSE;
   b->expected_workers = heartbeat_workers (b);
--- a/batch/leases.c
+++ b/batch/leases.c
@@ -192,14 +192,21 @@
   return !has_listed_run (w);
 }
 
-/* TRUE when the log does not say that W gets no leases. Otherwise proposes that it
-   does. */
+/* TRUE when W gets leases: the log does not say that it gets none, and its commands
+   need no new epoch. */
+gboolean
+may_get_leases (const cb_batch_t *b, const worker_t *w)
+{
+  return !w->leases_stopped && !w->lease_proposed && !needs_command_epoch (b, w);
+}
+
+/* As may_get_leases. If not, proposes that W gets leases. */
 static gboolean
 gets_leases (cb_batch_t *b, worker_t *w)
 {
-  if (w->leases_stopped && !w->lease_proposed)
+  if (!may_get_leases (b, w) && !w->lease_proposed)
     propose_lease (b, w, TRUE, 0);
-  return !w->leases_stopped && !w->lease_proposed;
+  return may_get_leases (b, w);
 }
 
 /* TRUE when W has not reported for so long that it may be lost. */
@@ -253,11 +260,13 @@
   propose_lease (b, w, FALSE, w->lease_end_ms - now_ms);
 }
 
-/* Applies what the scheduler has said of leases. The record was written before NOW_MS,
-   so that leases end no later than its time left counted from here. A record that the
-   log has taken a second time is ignored, as leases may have been granted since. */
+/* Applies what the scheduler has said of leases in the record at OFFSET. The record was
+   written before NOW_MS, so that leases end no later than its time left counted from
+   here. A record that the log has taken a second time is ignored, as leases may have
+   been granted since. */
 void
-apply_leases (cb_batch_t *b, const Cb__BatchLeases *leases, cb_msec_t now_ms)
+apply_leases (cb_batch_t *b, uint64_t offset, const Cb__BatchLeases *leases,
+              cb_msec_t now_ms)
 {
   if (leases->number <= b->lease_number)
     return;
@@ -272,8 +281,10 @@
       w->lease_proposed = FALSE;
       w->leases_stopped = !lease->granted;
       w->leases_over_ms = now_ms + (cb_msec_t)lease->left_ms;
-      if (lease->granted)
-        change_commands (b, w);
+      if (!lease->granted)
+        continue;
+      raise_command_epoch (b, w, offset);
+      change_commands (b, w);
     }
 }
 
--- a/batch/local.h
+++ b/batch/local.h
@@ -285,6 +285,11 @@
   GHashTable *ended_workers;    /* set of id/incarnation: this scheduler knows that the
                                    process has ended */
   GHashTable *agents;           /* name -> agent_t */
+  /* Scheduler, see epochs.c. */
+  GHashTable *command_epochs;   /* agent -> uint64_t: epoch of its commands, if that is
+                                   not own_epoch */
+  GHashTable *lost_run_workers; /* set of worker ids: a run was taken as lost since the
+                                   epoch of their commands was raised */
   uint32_t entry_count;         /* agents that are entries */
   GHashTable *run_times;        /* queue -> run_time_t */
   GHashTable *fleet; /* service -> Cb__FleetSums of the scheduler's latest heartbeat */
@@ -388,7 +393,8 @@
 
 /* leases.c */
 cb_msec_t latest_lease_end (const cb_batch_t *b, cb_msec_t granted_ms);
-void apply_leases (cb_batch_t *b, const Cb__BatchLeases *leases, cb_msec_t now_ms);
+void apply_leases (cb_batch_t *b, uint64_t offset, const Cb__BatchLeases *leases,
+                   cb_msec_t now_ms);
 void note_grants_end (cb_batch_t *b, gboolean process_ended, cb_msec_t now_ms);
 void note_grants_of_predecessor (cb_batch_t *b, cb_msec_t now_ms);
 void forget_grants (cb_batch_t *b, cb_msec_t now_ms);
@@ -396,12 +402,19 @@
 void withdraw_lease_proposals (const cb_batch_t *b, const Cb__BatchLeases *leases);
 void note_heard (worker_t *w, cb_msec_t now_ms);
 void note_listed_time (worker_t *w, uint64_t clock_ms, cb_msec_t now_ms);
+gboolean may_get_leases (const cb_batch_t *b, const worker_t *w);
 gboolean grant_lease (cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
 void note_turn (cb_batch_t *b, cb_msec_t now_ms);
 void check_grants (cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
 void save_leases (const cb_batch_t *b, Cb__BatchSnapshot *snapshot, cb_msec_t now_ms);
 void load_leases (cb_batch_t *b, const Cb__BatchSnapshot *snapshot, cb_msec_t now_ms);
 
+/* epochs.c */
+void reset_command_epochs (cb_batch_t *b);
+void note_lost_run (cb_batch_t *b, const worker_t *w);
+gboolean needs_command_epoch (const cb_batch_t *b, const worker_t *w);
+void raise_command_epoch (cb_batch_t *b, const worker_t *w, uint64_t offset);
+
 /* watch.c */
 cb_msec_t last_run_end_ms (const worker_t *w);
 void check_workers (cb_batch_t *b, cb_msec_t now_ms);
--- a/batch/orders.c
+++ b/batch/orders.c
@@ -154,7 +154,7 @@
         cb_msg_append ((void ***)&commands->stops, &commands->n_stops,
                        task_run_new (task, task->run));
     }
-  if (!w->ended_partial && !w->leases_stopped && !w->lease_proposed)
+  if (!w->ended_partial && may_get_leases (b, w))
     add_starts (commands, w);
   w->ordered_starts = (uint32_t)commands->n_starts;
   w->shown_starts = 0;
--- a/batch/state.c
+++ b/batch/state.c
@@ -62,6 +62,8 @@
   b->changed_workers = g_ptr_array_new ();
   b->workers_of_agent = workers_of_agent_new ();
   b->ended_workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  b->command_epochs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  b->lost_run_workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   b->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_agent);
   b->run_times = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   b->fleet = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cb_msg_free);
@@ -84,6 +86,8 @@
   g_ptr_array_free (b->changed_workers, TRUE);
   g_hash_table_unref (b->workers_of_agent);
   g_hash_table_unref (b->ended_workers);
+  g_hash_table_unref (b->command_epochs);
+  g_hash_table_unref (b->lost_run_workers);
   g_hash_table_unref (b->workers);
   g_hash_table_unref (b->agents);
   g_hash_table_unref (b->run_times);
--- a/batch/watch.c
+++ b/batch/watch.c
@@ -28,8 +28,10 @@
     {
       task_t *task = w->tasks->pdata[i];
 
-      if (task->state == TASK_STARTED)
-        propose_end (b, task, CB__RUN_END__RUN_LOST, task->reported_checkpoint, why);
+      if (task->state != TASK_STARTED || task->proposed_end)
+        continue;
+      note_lost_run (b, w);
+      propose_end (b, task, CB__RUN_END__RUN_LOST, task->reported_checkpoint, why);
     }
 }
 
--- a/cmd/batch_lead.c
+++ b/cmd/batch_lead.c
@@ -89,7 +89,7 @@
       entry->term_ms == 0 && now_ms - entry->last_read_ms < CB_GRANT_STALE_MS;
 
   cb_msg_set_string (&envelope->from, entry->identity);
-  envelope->epoch = entry->own_epoch;
+  envelope->epoch = cb_batch_command_epoch (entry->batch, link->agent);
   envelope->body_case = CB__ENVELOPE__BODY_WORKER_ORDERS;
   envelope->worker_orders =
       cb_batch_build_commands (entry->batch, link->agent, may_grant, now_ms);
@@ -114,7 +114,7 @@
   (void)bytes;
   if (envelope->body_case != CB__ENVELOPE__BODY_WORKER_REPORT)
     return;
-  if (envelope->epoch != entry->own_epoch)
+  if (!cb_batch_is_command_epoch (entry->batch, link->agent, envelope->epoch))
     {
       gboolean newer = envelope->epoch > entry->own_epoch;
 
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -8,10 +8,11 @@
    On SIGTERM it reports the state "draining", and exits after DRAIN_MS.
    Fault modes: `silent`: calls get no reply and have no effect. `odd_end`: lists show
    the oldest end with a value that cannot be read. `late`: starts get no reply and are
-   carried out LATE_MS later, unless they would be refused by then. `room`: starts of
-   runs that are not here are refused for want of room. `accepted`: starts are answered
-   as if they had been carried out, and have no effect. `unanswered`: starts get no
-   reply and have no effect. `mute`: starts get no reply and are carried out.
+   carried out LATE_MS later, unless they would be refused by then. `later`: the same,
+   LATER_MS later. `room`: starts of runs that are not here are refused for want of
+   room. `accepted`: starts are answered as if they had been carried out, and have no
+   effect. `unanswered`: starts get no reply and have no effect. `mute`: starts get no
+   reply and are carried out.
    `draining`: heartbeats report the state "draining". `forget`: a run is no more,
    without an end. `lose_end`: the next end of a run is numbered and not listed.
    `busy`: starts are answered with 503. `odd_how`: a run ends in a way that no client
@@ -37,6 +38,8 @@
 /* Delay of a start in the fault mode `late`: more than a call may take, so that the
    caller repeats it before. */
 #define LATE_MS 2500
+/* The same in the fault mode `later`: more than twice the lease of the tests. */
+#define LATER_MS 9000
 /* Response time that the worker reports while it runs no `fill` task. */
 #define IDLE_LATENCY_MS 30
 
@@ -259,7 +262,8 @@
   if (run != NULL ||
       run_number <= GPOINTER_TO_UINT (g_hash_table_lookup (r->highest, task)))
     return "old";
-  if (integer_member (body, "deadlineMs") <= now ())
+  /* Whether the lease in the call or that of the worker decides is not specified. */
+  if (MAX (integer_member (body, "deadlineMs"), r->lease_end_ms) <= now ())
     return "late";
   if (!has_ticket (r, task, body))
     return "ticket";
@@ -286,6 +290,7 @@
 on_start (runner_t *r, cb_http_req_t *req, json_t *body)
 {
   const char *reason;
+  cb_msec_t late_ms;
 
   if (cb_fake_mode_active (&r->fake, "unanswered") ||
       cb_fake_mode_active (&r->fake, "busy"))
@@ -298,12 +303,15 @@
         cb_fake_reply (req, 503, json_object ());
       return;
     }
-  if (cb_fake_use_mode (&r->fake, "late"))
+  late_ms = cb_fake_use_mode (&r->fake, "late")    ? LATE_MS
+            : cb_fake_use_mode (&r->fake, "later") ? LATER_MS
+                                                   : 0;
+  if (late_ms > 0)
     {
       late_start_t *late = g_new0 (late_start_t, 1);
 
       late->body = json_incref (body);
-      late->due_ms = now () + LATE_MS;
+      late->due_ms = now () + late_ms;
       g_queue_push_tail (&r->late_starts, late);
       cb_fake_event (&r->fake, "start_delayed", "\"task\":\"%s\"",
                      json_string_value (json_object_get (body, "task")));
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -623,6 +623,9 @@
     while (Cb__BatchRecord *record = cb_batch_pop_record (earlier_))
       Append (record);
   }
+  // Executes the late starts that are due. Whether the end of the lease in such a call
+  // or the present lease of the worker decides that it comes too late is not specified:
+  // the later one does.
   void
   ExecuteLateStarts ()
   {
@@ -635,7 +638,7 @@
     for (const LateStart &l : due)
       for (auto &w : workers)
         if (w->up && w->id == l.worker && l.epoch >= w->fence &&
-            l.lease_ms > static_cast<uint64_t> (now))
+            std::max (w->lease_ms, l.lease_ms) > static_cast<uint64_t> (now))
           {
             auto rejected = w->rejected;
             w->lease_ms = std::max (w->lease_ms, l.lease_ms);
@@ -650,10 +653,12 @@
     Cb__WorkerOrders *commands = cb_batch_build_commands (
         scheduler, w.agent.c_str (), scheduler != active || !resigned_, now);
 
+    uint64_t command_epoch = cb_batch_command_epoch (scheduler, w.agent.c_str ());
+
     if (w.id == commands->worker && commands->born_ms == w.incarnation_ms &&
-        cb_batch_epoch (scheduler) >= w.fence)
+        command_epoch >= w.fence)
       {
-        w.fence = cb_batch_epoch (scheduler);
+        w.fence = command_epoch;
         w.lease_ms = std::max (w.lease_ms, commands->lease_until_ms);
         auto seen =
             std::find_if (w.ended.begin (), w.ended.end (), [&] (const EndedRun &e) {
--- a/test/batch_lease_test.cc
+++ b/test/batch_lease_test.cc
@@ -399,4 +399,44 @@
   EXPECT_EQ (sim.first_start_ms.size (), 1u);
 }
 
+// Submits job j, one task of 60 s whose start its worker executes LATE_MS late, and
+// makes this worker unreachable. Returns it; null: the task has no worker.
+Worker *
+StartLateAndCutOff (BatchSimulation &sim, cb_msec_t late_ms)
+{
+  Worker *worker = nullptr;
+
+  for (auto &w : sim.workers)
+    w->starts_late_ms = late_ms;
+  sim.SubmitAndRun ("j", 1, { { 1, 8 } }, 60000, 110);
+  Cb__BatchSnapshot *snapshot =
+      cb_batch_save_snapshot (sim.Scheduler (), sim.offset, sim.now);
+  for (auto &w : sim.workers)
+    {
+      w->starts_late_ms = 0;
+      if (w->id == snapshot->jobs[0]->steps[0]->tasks[0]->worker)
+        worker = w.get ();
+    }
+  cb_msg_free (snapshot);
+  if (worker != nullptr)
+    worker->reachable = false;
+  return worker;
+}
+
+// Guards against a task that runs twice, as its worker executes a start from before its
+// leases were over once it has a new one.
+TEST (BatchLease, LateStartOfALostRunIsNotExecutedUnderALaterLease)
+{
+  BatchSimulation sim (3, 3);
+
+  Worker *w = StartLateAndCutOff (sim, 9000);
+  ASSERT_NE (w, nullptr);
+  sim.Advance (7500);
+  ASSERT_EQ (sim.Running ("j"), 1);
+  ASSERT_EQ (w->running.size (), 0u);
+  w->reachable = true;
+  sim.Advance (5000);
+  EXPECT_EQ (w->running.size (), 0u);
+}
+
 } // namespace
--- a/test/batch_play.h
+++ b/test/batch_play.h
@@ -34,7 +34,10 @@
   std::string failure;  // the first one; empty: none
   bool verbose = false; // prints the faults and the time
 
-  explicit RandomPlay (unsigned seed) : sim (8, 4), random_ (seed)
+  // With LATE_STARTS, workers are also made unreachable while starts that they execute
+  // late are on their way.
+  explicit RandomPlay (unsigned seed, bool late_starts = false)
+      : sim (8, 4), random_ (seed)
   {
     sim.workers[3]->accelerators = 16;
     sim.AddReplica ();
@@ -43,6 +46,8 @@
       if (Chance (35))
         kinds_.push_back (kind);
     kinds_.push_back (Pick (kKinds));
+    if (late_starts)
+      kinds_.push_back (kLateStartsCutOff);
     pause_ms_ = 150 + Pick (1500);
     claims_.push_back (sim.now);
   }
@@ -107,7 +112,8 @@
     kDroppedEnds,
     kPartialEnds,
     kUnreadRow,
-    kKinds,
+    kKinds, // those that each play may have
+    kLateStartsCutOff = kKinds,
   };
   static const char *
   Name (int kind)
@@ -125,6 +131,7 @@
       "records repeated", "snapshot",
       "dropped run",      "dropped ends",
       "partial ends",     "unread row",
+      "late, cut off",
     };
     return names[kind];
   }
@@ -176,6 +183,7 @@
   cb_msec_t fails_ms_ = 0; // latest time at which a worker failed its runs; 0: none
   std::map<std::string, cb_msec_t> until_ms_;   // agent -> end of its faults
   std::map<std::string, cb_msec_t> relapse_ms_; // agent -> when it is unreachable
+  std::map<std::string, cb_msec_t> cut_off_ms_; // the same, with late starts until then
   std::map<std::string, cb_msec_t> fault_ms_;   // worker id -> latest time with one
   std::set<std::string> running_jobs_;
   std::map<std::string, TaskView> tasks_;
@@ -359,9 +367,25 @@
     w.calls_lost = w.row_unread = false;
     w.ends_listed_max = 500;
   }
+  // Makes workers unreachable whose late starts are on their way, most of them for
+  // longer than their leases.
+  void
+  CutOffLateStarts ()
+  {
+    for (auto &w : sim.workers)
+      if (cut_off_ms_.count (w->agent) && sim.now >= cut_off_ms_[w->agent])
+        {
+          cut_off_ms_.erase (w->agent);
+          w->starts_late_ms = 0;
+          w->reachable = false;
+          until_ms_[w->agent] = sim.now + 5000 + Pick (5000);
+          Say (w->id + " unreachable until " + std::to_string (until_ms_[w->agent]));
+        }
+  }
   void
   MayDisturb ()
   {
+    CutOffLateStarts ();
     for (auto &w : sim.workers)
       if (until_ms_.count (w->agent) && sim.now >= until_ms_[w->agent])
         {
@@ -546,6 +570,11 @@
       case kLateStarts:
         w.starts_late_ms = 200 + Pick (4000);
         break;
+      case kLateStartsCutOff:
+        w.starts_late_ms = 2000 + Pick (10000);
+        for_ms = 10000;
+        cut_off_ms_[w.agent] = sim.now + 100 + Pick (1500);
+        break;
       case kLostCalls:
         w.calls_lost = true;
         break;
--- a/test/batch_wait_test.cc
+++ b/test/batch_wait_test.cc
@@ -419,10 +419,11 @@
   return text == nullptr ? fallback : static_cast<unsigned> (atoi (text));
 }
 
-// Guards against any wait without a bound that random faults lead to.
-// BATCH_PLAY_SEED=N plays only this seed and logs its events, with BATCH_PLAY_COUNT=M
-// the M seeds from there on.
-TEST (BatchWait, RandomFaultsLeaveNoTaskWaiting)
+// Plays random faults; with LATE_STARTS also such as meet starts that are executed
+// late. BATCH_PLAY_SEED=N plays only this seed and logs its events, with
+// BATCH_PLAY_COUNT=M the M seeds from there on.
+void
+PlayRandomFaults (bool late_starts)
 {
   bool chosen = getenv ("BATCH_PLAY_SEED") != nullptr;
   unsigned first = EnvNumber ("BATCH_PLAY_SEED", 1);
@@ -436,7 +437,7 @@
     cb_log_set_level (CB_LOG_ERROR);
   for (unsigned seed = first; seed < first + count && failed < 10; seed++)
     {
-      RandomPlay play (seed);
+      RandomPlay play (seed, late_starts);
       play.verbose = count == 1;
       std::string failure = play.Run (kPlayMs);
       EXPECT_EQ (failure, "") << "BATCH_PLAY_SEED=" << seed;
@@ -445,4 +446,17 @@
   cb_log_set_level (CB_LOG_INFO);
 }
 
+// Guards against any wait without a bound that random faults lead to.
+TEST (BatchWait, RandomFaultsLeaveNoTaskWaiting)
+{
+  PlayRandomFaults (false);
+}
+
+// Guards against a run that a late start begins after it was taken as lost, and against
+// a wait without a bound for workers that may have such starts.
+TEST (BatchWait, RandomFaultsWithLateStartsLeaveNoTaskWaiting)
+{
+  PlayRandomFaults (true);
+}
+
 } // namespace
--- a/test/platform_worker_test.cc
+++ b/test/platform_worker_test.cc
@@ -722,14 +722,15 @@
   LateStartSite () : PlatformSite (1, 2)
   {
   }
+  // Submits job 1 with SPEC. MODE is the fault mode of the workers.
   bool
-  Run ()
+  Run (const std::string &mode = "late", const std::string &spec = "run 4000")
   {
     if (!AllListed (this))
       return false;
     for (const auto &address : runners)
-      Control (address, "{\"mode\":\"late\",\"count\":1}");
-    if (Submit (0, 1, 1, Job (1, 8, "run 4000")).status != 200 || !Until ([&] {
+      Control (address, "{\"mode\":\"" + mode + "\",\"count\":1}");
+    if (Submit (0, 1, 1, Job (1, 8, spec)).status != 200 || !Until ([&] {
           first = Events ("runner0", "start_delayed") > 0   ? 0
                   : Events ("runner1", "start_delayed") > 0 ? 1
                                                             : -1;
@@ -797,4 +798,23 @@
   site.ExpectOneRunAtATime ();
 }
 
+// Guards against two runs of a task at once: the agent of its worker is not there until
+// the leases of the worker are over, the task starts elsewhere, and the first start is
+// carried out once the worker has a new lease, which it must get.
+TEST (PlatformSite, LateStartOfALostRunRunsNoTaskTwice)
+{
+  LateStartSite site;
+
+  ASSERT_TRUE (site.Run ("later", "run 9000"));
+  site.Kill (site.agent);
+  ASSERT_TRUE (site.Until ([&] { return site.Starts (1) == 1; }));
+  site.StartAgent (site.first);
+  EXPECT_EQ (site.Submit (0, 2, 1, site.Job (1, 8, "run 6000")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.Starts (2) == 1; }));
+  EXPECT_EQ (site.Starts (1), 1);
+  EXPECT_EQ (site.Events (site.runner, "run_start"), 1);
+  site.ExpectOneRunAtATime ();
+  EXPECT_EQ (site.Starts (1), 1);
+}
+
 } // namespace
