--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -3023,7 +3023,7 @@
   (ProtobufCMessageInit) cb__batch_step_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_job_state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cb__batch_job_state__field_descriptors[6] =
 {
   {
     "job",
@@ -3085,18 +3085,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchJobState, started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_job_state__field_indices_by_name[] = {
   1,   /* field[1] = canceled */
   3,   /* field[3] = ended_ms */
   2,   /* field[2] = failed */
   0,   /* field[0] = job */
+  5,   /* field[5] = started */
   4,   /* field[4] = steps */
 };
 static const ProtobufCIntRange cb__batch_job_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cb__batch_job_state__descriptor =
 {
@@ -3106,7 +3119,7 @@
   "Cb__BatchJobState",
   "cb",
   sizeof(Cb__BatchJobState),
-  5,
+  6,
   cb__batch_job_state__field_descriptors,
   cb__batch_job_state__field_indices_by_name,
   1,  cb__batch_job_state__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -496,10 +496,14 @@
   uint64_t ended_ms;
   size_t n_steps;
   Cb__BatchStepState **steps;
+  /*
+   * a task has started
+   */
+  protobuf_c_boolean started;
 };
 #define CB__BATCH_JOB_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_job_state__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -99,7 +99,8 @@
   int failed_runs = 0;
   std::set<std::string> stopped; // tasks with a run that was stopped
   std::vector<std::vector<uint8_t> > log;
-  std::vector<cb_batch_t *> others;            // further replicas
+  std::vector<cb_batch_t *> others;  // further replicas
+  std::vector<cb_batch_t *> readers; // apply the log, but never become the scheduler
   std::map<std::string, cb_msec_t> contact_ms; // worker id -> of its latest report
 
   // The log takes records of up to RECORD_BYTES_MAX; by default about as many as the
@@ -129,6 +130,8 @@
   {
     for (cb_batch_t *replica : Replicas ())
       cb_batch_free (replica);
+    for (cb_batch_t *reader : readers)
+      cb_batch_free (reader);
     cb_batch_config_unref (config);
   }
 
@@ -158,6 +161,13 @@
     cb_batch_set_config (others.back (), config);
     Reload (others.back ());
   }
+  // Adds a reader that begins from a snapshot of SOURCE.
+  void
+  AddReader (cb_batch_t *source)
+  {
+    readers.push_back (nullptr);
+    Load (readers.back (), source);
+  }
   // Appends a record and applies it to all replicas that read the log.
   uint64_t
   Append (Cb__BatchRecord *record)
@@ -165,9 +175,12 @@
     for (cb_batch_t *replica : Replicas ())
       if (replica != earlier_)
         cb_batch_apply (replica, offset, record, now, now);
+    for (cb_batch_t *reader : readers)
+      cb_batch_apply (reader, offset, record, now, now);
     if (earlier_ != nullptr)
-      unread_.emplace_back (offset, std::shared_ptr<ProtobufCMessage> (
-                                        cb_msg_copy (&record->base), cb_msg_free));
+      unread_.push_back ({ offset, now,
+                           std::shared_ptr<ProtobufCMessage> (
+                               cb_msg_copy (&record->base), cb_msg_free) });
     if (keep_log)
       {
         log.emplace_back (cb__batch_record__get_packed_size (record));
@@ -291,10 +304,10 @@
     earlier_ = nullptr;
     for (auto &w : workers)
       w->earlier = nullptr;
-    for (const auto &record : unread_)
-      cb_batch_apply (replica, record.first,
-                      reinterpret_cast<Cb__BatchRecord *> (record.second.get ()), now,
-                      now);
+    for (const UnreadRecord &r : unread_)
+      cb_batch_apply (replica, r.offset,
+                      reinterpret_cast<Cb__BatchRecord *> (r.record.get ()), now,
+                      r.appended_ms);
     unread_.clear ();
   }
   // Ends the process of W and its agent without a word to the scheduler.
@@ -450,7 +463,13 @@
   void
   Reload (cb_batch_t *&replica)
   {
-    Cb__BatchSnapshot *snapshot = cb_batch_save_snapshot (active, offset, now);
+    Load (replica, active);
+  }
+  // Replaces REPLICA, which may be null, by one that begins from a snapshot of SOURCE.
+  void
+  Load (cb_batch_t *&replica, cb_batch_t *source)
+  {
+    Cb__BatchSnapshot *snapshot = cb_batch_save_snapshot (source, offset, now);
 
     cb_batch_free (replica);
     replica = cb_batch_new (&params);
@@ -520,11 +539,18 @@
     std::shared_ptr<ProtobufCMessage> start; // Cb__OrderedStart
   };
 
+  // A record that the earlier scheduler has not read.
+  struct UnreadRecord
+  {
+    uint64_t offset;
+    cb_msec_t appended_ms;
+    std::shared_ptr<ProtobufCMessage> record; // Cb__BatchRecord
+  };
+
   cb_batch_t *active = nullptr;
   cb_batch_t *earlier_ = nullptr;
   bool resigned_ = false; // the scheduler has
-  // Offset and record, not read by the earlier scheduler.
-  std::vector<std::pair<uint64_t, std::shared_ptr<ProtobufCMessage> > > unread_;
+  std::vector<UnreadRecord> unread_;
   std::vector<LateStart> late_starts_;
   // Records that were appended once, and when they are again.
   std::vector<std::pair<cb_msec_t, std::shared_ptr<ProtobufCMessage> > > repeats_;
--- a/test/batch_play.h
+++ b/test/batch_play.h
@@ -3,6 +3,7 @@
 #ifndef TEST_BATCH_PLAY_H
 #define TEST_BATCH_PLAY_H
 
+#include <functional>
 #include <random>
 
 #include "test/batch_harness.h"
@@ -31,8 +32,9 @@
 {
 public:
   BatchSimulation sim;
-  std::string failure;  // the first one; empty: none
-  bool verbose = false; // prints the faults and the time
+  std::string failure;               // the first one; empty: none
+  bool verbose = false;              // prints the faults and the time
+  std::function<void ()> after_step; // if set, called after each step
 
   // With LATE_STARTS, workers are also made unreachable while starts that they execute
   // late are on their way.
@@ -615,6 +617,8 @@
       sim.Append (sim.NewHeartbeat ());
     sim.Advance (10);
     Check ();
+    if (after_step)
+      after_step ();
   }
   bool
   AllEnded ()
