--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &cb__batch_moved__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cb__batch_begun__init
+                     (Cb__BatchBegun         *message)
+{
+  static const Cb__BatchBegun init_value = CB__BATCH_BEGUN__INIT;
+  *message = init_value;
+}
+size_t cb__batch_begun__get_packed_size
+                     (const Cb__BatchBegun *message)
+{
+  assert(message->base.descriptor == &cb__batch_begun__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cb__batch_begun__pack
+                     (const Cb__BatchBegun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cb__batch_begun__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cb__batch_begun__pack_to_buffer
+                     (const Cb__BatchBegun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cb__batch_begun__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cb__BatchBegun *
+       cb__batch_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cb__BatchBegun *)
+     protobuf_c_message_unpack (&cb__batch_begun__descriptor,
+                                allocator, len, data);
+}
+void   cb__batch_begun__free_unpacked
+                     (Cb__BatchBegun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cb__batch_begun__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cb__worker_lease__init
                      (Cb__WorkerLease         *message)
 {
@@ -1571,7 +1616,7 @@
   (ProtobufCMessageInit) cb__batch_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_job__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cb__batch_job__field_descriptors[18] =
 {
   {
     "id",
@@ -1741,10 +1786,61 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "advised",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchJob, advised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_base_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchJob, advice_base_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_per_worker_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchJob, advice_per_worker_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket_validity_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchJob, ticket_validity_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_job__field_indices_by_name[] = {
   10,   /* field[10] = accepted_ms */
   3,   /* field[3] = account */
+  15,   /* field[15] = advice_base_ms */
+  16,   /* field[16] = advice_per_worker_ms */
+  14,   /* field[14] = advised */
   7,   /* field[7] = attempts */
   0,   /* field[0] = id */
   13,   /* field[13] = interval_ms */
@@ -1756,12 +1852,13 @@
   12,   /* field[12] = start_at_ms */
   5,   /* field[5] = steps */
   8,   /* field[8] = stretch_milli */
+  17,   /* field[17] = ticket_validity_ms */
   11,   /* field[11] = times */
 };
 static const ProtobufCIntRange cb__batch_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor cb__batch_job__descriptor =
 {
@@ -1771,7 +1868,7 @@
   "Cb__BatchJob",
   "cb",
   sizeof(Cb__BatchJob),
-  14,
+  18,
   cb__batch_job__field_descriptors,
   cb__batch_job__field_indices_by_name,
   1,  cb__batch_job__number_ranges,
@@ -2470,6 +2567,44 @@
   (ProtobufCMessageInit) cb__batch_moved__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cb__batch_begun__field_descriptors[1] =
+{
+  {
+    "jobs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cb__BatchBegun, n_jobs),
+    offsetof(Cb__BatchBegun, jobs),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cb__batch_begun__field_indices_by_name[] = {
+  0,   /* field[0] = jobs */
+};
+static const ProtobufCIntRange cb__batch_begun__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cb__batch_begun__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cb.BatchBegun",
+  "BatchBegun",
+  "Cb__BatchBegun",
+  "cb",
+  sizeof(Cb__BatchBegun),
+  1,
+  cb__batch_begun__field_descriptors,
+  cb__batch_begun__field_indices_by_name,
+  1,  cb__batch_begun__number_ranges,
+  (ProtobufCMessageInit) cb__batch_begun__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cb__worker_lease__field_descriptors[4] =
 {
   {
@@ -2649,7 +2784,7 @@
   (ProtobufCMessageInit) cb__batch_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cb__batch_record__field_descriptors[12] =
 {
   {
     "epoch",
@@ -2771,12 +2906,38 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cb__BatchRecord, body_case),
+    offsetof(Cb__BatchRecord, begun),
+    &cb__batch_begun__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchRecord, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_record__field_indices_by_name[] = {
   4,   /* field[4] = agent */
   7,   /* field[7] = beat */
+  10,   /* field[10] = begun */
   2,   /* field[2] = cancel */
   3,   /* field[3] = claim */
+  11,   /* field[11] = clock_ms */
   6,   /* field[6] = ends */
   0,   /* field[0] = epoch */
   8,   /* field[8] = leases */
@@ -2787,7 +2948,7 @@
 static const ProtobufCIntRange cb__batch_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cb__batch_record__descriptor =
 {
@@ -2797,7 +2958,7 @@
   "Cb__BatchRecord",
   "cb",
   sizeof(Cb__BatchRecord),
-  10,
+  12,
   cb__batch_record__field_descriptors,
   cb__batch_record__field_indices_by_name,
   1,  cb__batch_record__number_ranges,
@@ -3023,7 +3184,7 @@
   (ProtobufCMessageInit) cb__batch_step_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_job_state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cb__batch_job_state__field_descriptors[6] =
 {
   {
     "job",
@@ -3085,8 +3246,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchJobState, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_job_state__field_indices_by_name[] = {
+  5,   /* field[5] = begun */
   1,   /* field[1] = canceled */
   3,   /* field[3] = ended_ms */
   2,   /* field[2] = failed */
@@ -3096,7 +3270,7 @@
 static const ProtobufCIntRange cb__batch_job_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cb__batch_job_state__descriptor =
 {
@@ -3106,7 +3280,7 @@
   "Cb__BatchJobState",
   "cb",
   sizeof(Cb__BatchJobState),
-  5,
+  6,
   cb__batch_job_state__field_descriptors,
   cb__batch_job_state__field_indices_by_name,
   1,  cb__batch_job_state__number_ranges,
@@ -3164,7 +3338,7 @@
   (ProtobufCMessageInit) cb__batch_canceled__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__batch_snapshot__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cb__batch_snapshot__field_descriptors[9] =
 {
   {
     "next",
@@ -3262,10 +3436,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cb__BatchSnapshot, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__batch_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = agents */
   5,   /* field[5] = canceled */
+  8,   /* field[8] = clock_ms */
   1,   /* field[1] = epoch */
   3,   /* field[3] = jobs */
   7,   /* field[7] = lease_number */
@@ -3276,7 +3463,7 @@
 static const ProtobufCIntRange cb__batch_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cb__batch_snapshot__descriptor =
 {
@@ -3286,7 +3473,7 @@
   "Cb__BatchSnapshot",
   "cb",
   sizeof(Cb__BatchSnapshot),
-  8,
+  9,
   cb__batch_snapshot__field_descriptors,
   cb__batch_snapshot__field_indices_by_name,
   1,  cb__batch_snapshot__number_ranges,
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Cb__BatchEnds Cb__BatchEnds;
 typedef struct Cb__FleetSums Cb__FleetSums;
 typedef struct Cb__BatchMoved Cb__BatchMoved;
+typedef struct Cb__BatchBegun Cb__BatchBegun;
 typedef struct Cb__WorkerLease Cb__WorkerLease;
 typedef struct Cb__BatchLeases Cb__BatchLeases;
 typedef struct Cb__BatchBeat Cb__BatchBeat;
@@ -195,10 +196,26 @@
    * between the starts of two occurrences
    */
   uint64_t interval_ms;
+  /*
+   * tasks run only on workers that the advisor permits
+   */
+  protobuf_c_boolean advised;
+  /*
+   * time that the advisor takes for a request,
+   */
+  uint32_t advice_base_ms;
+  /*
+   * plus this for each candidate worker
+   */
+  uint32_t advice_per_worker_ms;
+  /*
+   * of the tickets that the advisor issues
+   */
+  uint32_t ticket_validity_ms;
 };
 #define CB__BATCH_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cb__TaskRun
@@ -360,6 +377,20 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A task of each of these jobs has begun to run.
+ */
+struct  Cb__BatchBegun
+{
+  ProtobufCMessage base;
+  size_t n_jobs;
+  char **jobs;
+};
+#define CB__BATCH_BEGUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cb__batch_begun__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Whether the scheduler grants leases to a worker. While it does not, it grants none before a record
  * that says so again, or a start on the worker, is applied.
@@ -417,7 +448,8 @@
   CB__BATCH_RECORD__BODY_ENDS = 7,
   CB__BATCH_RECORD__BODY_BEAT = 8,
   CB__BATCH_RECORD__BODY_LEASES = 9,
-  CB__BATCH_RECORD__BODY_MOVED = 10
+  CB__BATCH_RECORD__BODY_MOVED = 10,
+  CB__BATCH_RECORD__BODY_BEGUN = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CB__BATCH_RECORD__BODY__CASE)
 } Cb__BatchRecord__BodyCase;
 
@@ -428,6 +460,10 @@
    * of the scheduler that wrote it; 0: written by any entry or agent
    */
   uint64_t epoch;
+  /*
+   * clock of the scheduler's process when it wrote the record; 0: not stated
+   */
+  uint64_t clock_ms;
   Cb__BatchRecord__BodyCase body_case;
   union {
     Cb__BatchJob *submit;
@@ -439,11 +475,12 @@
     Cb__BatchBeat *beat;
     Cb__BatchLeases *leases;
     Cb__BatchMoved *moved;
+    Cb__BatchBegun *begun;
   };
 };
 #define CB__BATCH_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_record__descriptor) \
-    , 0, CB__BATCH_RECORD__BODY__NOT_SET, {0} }
+    , 0, 0, CB__BATCH_RECORD__BODY__NOT_SET, {0} }
 
 
 struct  Cb__BatchTaskState
@@ -496,10 +533,14 @@
   uint64_t ended_ms;
   size_t n_steps;
   Cb__BatchStepState **steps;
+  /*
+   * a task of the job has begun
+   */
+  protobuf_c_boolean begun;
 };
 #define CB__BATCH_JOB_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_job_state__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -540,10 +581,14 @@
    * of the latest record with leases of the epoch; 0: none
    */
   uint64_t lease_number;
+  /*
+   * of the scheduler's process when it made the snapshot; 0: not stated
+   */
+  uint64_t clock_ms;
 };
 #define CB__BATCH_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__batch_snapshot__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -1031,6 +1076,25 @@
 void   cb__batch_moved__free_unpacked
                      (Cb__BatchMoved *message,
                       ProtobufCAllocator *allocator);
+/* Cb__BatchBegun methods */
+void   cb__batch_begun__init
+                     (Cb__BatchBegun         *message);
+size_t cb__batch_begun__get_packed_size
+                     (const Cb__BatchBegun   *message);
+size_t cb__batch_begun__pack
+                     (const Cb__BatchBegun   *message,
+                      uint8_t             *out);
+size_t cb__batch_begun__pack_to_buffer
+                     (const Cb__BatchBegun   *message,
+                      ProtobufCBuffer     *buffer);
+Cb__BatchBegun *
+       cb__batch_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cb__batch_begun__free_unpacked
+                     (Cb__BatchBegun *message,
+                      ProtobufCAllocator *allocator);
 /* Cb__WorkerLease methods */
 void   cb__worker_lease__init
                      (Cb__WorkerLease         *message);
@@ -1392,6 +1456,9 @@
 typedef void (*Cb__BatchMoved_Closure)
                  (const Cb__BatchMoved *message,
                   void *closure_data);
+typedef void (*Cb__BatchBegun_Closure)
+                 (const Cb__BatchBegun *message,
+                  void *closure_data);
 typedef void (*Cb__WorkerLease_Closure)
                  (const Cb__WorkerLease *message,
                   void *closure_data);
@@ -1462,6 +1529,7 @@
 extern const ProtobufCMessageDescriptor cb__batch_ends__descriptor;
 extern const ProtobufCMessageDescriptor cb__fleet_sums__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_moved__descriptor;
+extern const ProtobufCMessageDescriptor cb__batch_begun__descriptor;
 extern const ProtobufCMessageDescriptor cb__worker_lease__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_leases__descriptor;
 extern const ProtobufCMessageDescriptor cb__batch_beat__descriptor;
