Count a job as pending until a task of it has begun

The fold set job->started when the start of a task was in the log, before any worker had taken it, and a rejected start did not take it back. Entries that are not the scheduler see no reports, so the log has to say that a job has begun. The scheduler now writes a record of the jobs that reports have shown first; an end that a run can only have after its begin shows it, too. States, `pending` and the totals go by that. The record is proposed again after 3 s while the log lacks it, as an append may be refused or given up. The placement of daemon tasks and the histogram of waits still go by the starts in the log.

--- a/batch/dat.h
+++ b/batch/dat.h
@@ -188,7 +188,7 @@
 typedef struct
 {
   uint32_t jobs;         /* neither completed, failed nor canceled */
-  uint32_t jobs_waiting; /* those of them of which no task has started */
+  uint32_t jobs_waiting; /* those of them of which no task has begun */
   uint32_t tasks_waiting;
   uint32_t tasks_running;
   uint32_t workers;
--- a/batch/fold.c
+++ b/batch/fold.c
@@ -306,6 +306,28 @@
             offset, b->epoch);
 }
 
+/* Notes that a task of each of these jobs has begun. */
+static void
+apply_begun (const cb_batch_t *b, const Cb__BatchBegun *begun)
+{
+  for (size_t i = 0; i < begun->n_jobs; i++)
+    {
+      job_t *job = find_job (b, begun->jobs[i]);
+
+      if (job != NULL)
+        job->begun = TRUE;
+    }
+}
+
+/* TRUE when a run that ended by HOW has begun. One that was stopped or lost may have
+   ended before it began. */
+gboolean
+shows_begin (Cb__RunEnd how)
+{
+  return how != CB__RUN_END__RUN_REJECTED && how != CB__RUN_END__RUN_STOPPED &&
+         how != CB__RUN_END__RUN_LOST;
+}
+
 static void
 apply_end (cb_batch_t *b, uint64_t offset, const Cb__TaskEnd *end, cb_msec_t now_ms,
            cb_msec_t wall_ms)
@@ -316,6 +338,7 @@
     return;
   log_stored_end (b, task, end, offset);
   learn_run_end (b, task, end->how, now_ms);
+  task->job->begun = task->job->begun || shows_begin (end->how);
   if (end->saved[0] != '\0')
     {
       g_free (task->checkpoint);
@@ -423,6 +446,9 @@
     case CB__BATCH_RECORD__BODY_MOVED:
       apply_moved (b, record->moved);
       return;
+    case CB__BATCH_RECORD__BODY_BEGUN:
+      apply_begun (b, record->begun);
+      return;
     case CB__BATCH_RECORD__BODY_LEASES:
       apply_leases (b, record->leases, now_ms);
       return;
--- a/batch/lead.c
+++ b/batch/lead.c
@@ -24,6 +24,9 @@
 /* A start whose record the log has refused as too large is not proposed again before:
    the limit of the log may have changed, and each attempt costs an append. */
 #define REFUSED_RETRY_MS 2000
+/* A record that jobs have begun which the log does not show after this time is proposed
+   again: an append is given up sooner. */
+#define BEGUN_RETRY_MS 3000
 
 /* Starts and ends that were proposed and are not in the log. */
 typedef struct
@@ -51,6 +54,7 @@
 reset_job (job_t *job, proposals_t *proposals)
 {
   job->stuck_since_ms = 0;
+  job->begun_proposed_ms = 0;
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     for (size_t i = 0; i < job->spec->n_steps; i++)
       {
@@ -95,6 +99,8 @@
   b->expected_workers = heartbeat_workers (b);
   b->dirty = TRUE;
   g_queue_clear_full (&b->records, cb_msg_free);
+  cb_msg_free (b->begun_record);
+  b->begun_record = NULL;
   cb_batch_advice_request_free (cb_batch_pop_advice_request (b));
   for (GList *l = b->job_list.head; l != NULL; l = l->next)
     reset_job (l->data, &proposals);
@@ -213,6 +219,37 @@
   g_queue_push_tail (&b->records, record);
 }
 
+/* Queues a record that a task of JOB has begun, unless the log has it or one was
+   proposed a short time ago. The jobs of a pass share a record. */
+void
+propose_begun (cb_batch_t *b, job_t *job, cb_msec_t now_ms)
+{
+  size_t bytes = strlen (job->spec->id) + ELEMENT_OVERHEAD_BYTES;
+  Cb__BatchRecord *record = b->begun_record;
+
+  if (job->begun || !job_open (job) || b->own_epoch == 0 ||
+      (job->begun_proposed_ms != 0 && now_ms - job->begun_proposed_ms < BEGUN_RETRY_MS))
+    return;
+  job->begun_proposed_ms = now_ms;
+  if (record != NULL && b->begun_record_bytes + bytes > b->params.record_bytes_max)
+    {
+      g_queue_push_tail (&b->records, record);
+      record = NULL;
+    }
+  if (record == NULL)
+    {
+      record = cb_msg_new (&cb__batch_record__descriptor);
+      record->epoch = b->own_epoch;
+      record->body_case = CB__BATCH_RECORD__BODY_BEGUN;
+      record->begun = cb_msg_new (&cb__batch_begun__descriptor);
+      b->begun_record = record;
+      b->begun_record_bytes = RECORD_OVERHEAD_BYTES;
+    }
+  b->begun_record_bytes += bytes;
+  cb_msg_append ((void ***)&record->begun->jobs, &record->begun->n_jobs,
+                 strdup (job->spec->id));
+}
+
 /* Returns a new message that run RUN of TASK starts on W; freed with cb_msg_free. */
 static Cb__TaskStart *
 task_start_new (const task_t *task, uint32_t run, const worker_t *w)
@@ -390,7 +427,14 @@
 Cb__BatchRecord *
 cb_batch_pop_record (cb_batch_t *b)
 {
-  return g_queue_pop_head (&b->records);
+  Cb__BatchRecord *record = g_queue_pop_head (&b->records);
+
+  if (record == NULL)
+    {
+      record = b->begun_record;
+      b->begun_record = NULL;
+    }
+  return record;
 }
 
 /* Notes that the log has refused the record of END. What the worker has said of it
--- a/batch/local.h
+++ b/batch/local.h
@@ -100,7 +100,8 @@
   occurrence_t *occurrences;
   gboolean canceled;
   gboolean failed;
-  gboolean started;        /* a task has started */
+  gboolean started;        /* the log has the start of a task */
+  gboolean begun;          /* by the log, a task has begun to run on a worker */
   cb_msec_t applied_ms;    /* when the submit record was applied, local clock */
   cb_msec_t ended_wall_ms; /* wall clock; 0: has not ended */
   uint32_t open_runs;      /* tasks in TASK_STARTED */
@@ -109,6 +110,8 @@
   cb_msec_t idle_since_ms; /* end of its latest run, or applied_ms */
   /* Scheduler: since when no task runs although one may; 0: not searched yet. */
   cb_msec_t stuck_since_ms;
+  /* Scheduler: when a record that a task has begun was proposed; 0: not yet. */
+  cb_msec_t begun_proposed_ms;
 };
 
 /* What the tasks of a worker use, kept while they come and go: passes need not look at
@@ -308,10 +311,14 @@
   uint64_t proposed_lease_number; /* of the latest record with leases */
   GQueue records;                 /* of Cb__BatchRecord, to be appended to the log */
   size_t open_record_bytes;       /* encoded size of the last of them, an upper bound */
-  double urgent_peak;  /* accelerators in use or wanted by urgent work, decayed */
-  cb_msec_t urgent_ms; /* when it was updated */
-  uint64_t plan_count; /* preemption plans computed so far, also discarded ones */
-  gboolean dirty;      /* something that placement depends on has changed */
+  /* Follows the queued records: the jobs that have begun since the last one. NULL:
+     none. */
+  Cb__BatchRecord *begun_record;
+  size_t begun_record_bytes; /* its encoded size, an upper bound */
+  double urgent_peak;        /* accelerators in use or wanted by urgent work, decayed */
+  cb_msec_t urgent_ms;       /* when it was updated */
+  uint64_t plan_count;       /* preemption plans computed so far, also discarded ones */
+  gboolean dirty;            /* something that placement depends on has changed */
   cb_batch_advice_request_t *advice_request; /* to be sent next; NULL: none */
   cb_msec_t placed_ms;                       /* time of the latest placement pass */
   cb_batch_wait_t wait;                      /* result of the latest find_waits */
@@ -349,6 +356,7 @@
 
 /* fold.c */
 void note_canceled (cb_batch_t *b, const char *id, cb_msec_t wall_ms);
+gboolean shows_begin (Cb__RunEnd how);
 
 /* workers.c */
 GHashTable *workers_table_new (void);
@@ -374,6 +382,7 @@
 void propose_end (cb_batch_t *b, task_t *task, Cb__RunEnd how, const char *checkpoint,
                   const char *why);
 void propose_moved (cb_batch_t *b, const worker_t *w);
+void propose_begun (cb_batch_t *b, job_t *job, cb_msec_t now_ms);
 void start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count,
                   cb_msec_t now_ms);
 void stop_task (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why);
--- a/batch/report.c
+++ b/batch/report.c
@@ -235,6 +235,7 @@
           change_commands (b, w);
           continue;
         }
+      propose_begun (b, task->job, now_ms);
       w->shown_starts += !task->reported;
       task->reported = TRUE;
       note_listed (w, task);
@@ -256,7 +257,8 @@
    of these, so that the worker can discard them. Keeps those of an incomplete list for
    acknowledge_stored_ends. */
 static void
-handle_ended (cb_batch_t *b, worker_t *w, const Cb__WorkerReport *report)
+handle_ended (cb_batch_t *b, worker_t *w, const Cb__WorkerReport *report,
+              cb_msec_t now_ms)
 {
   gboolean all_durable = TRUE;
 
@@ -275,6 +277,8 @@
         {
           all_durable = FALSE;
           note_listed (w, task);
+          if (!shows_begin (ended->how))
+            propose_begun (b, task->job, now_ms);
           propose_end (b, task, ended->how, ended->saved, "listed");
           if (report->ended_partial)
             g_ptr_array_add (w->listed_ends, cb_msg_copy (&ended->base));
@@ -468,7 +472,7 @@
       if (report->address[0] != '\0' && !was_ended (b, w))
         mark_ended_at_address (b, agent, w);
       handle_running (b, w, report, now_ms);
-      handle_ended (b, w, report);
+      handle_ended (b, w, report, now_ms);
       note_missed_ends (w, report);
       stop_unlisted_runs (b, w, report, now_ms);
       handle_rejected_and_absent (b, w, report);
--- a/batch/snapshot.c
+++ b/batch/snapshot.c
@@ -33,6 +33,7 @@
   state->job = (Cb__BatchJob *)cb_msg_copy (&job->spec->base);
   state->canceled = job->canceled;
   state->failed = job->failed;
+  state->begun = job->begun;
   state->ended_ms = (uint64_t)job->ended_wall_ms;
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     for (size_t i = 0; i < job->spec->n_steps; i++)
@@ -109,6 +110,8 @@
   step->started += task->state == TASK_STARTED;
   step->done += task->state == TASK_DONE;
   task->job->started = TRUE;
+  /* A snapshot of an earlier version does not say which jobs have begun. */
+  task->job->begun = task->job->begun || task->state != TASK_STARTED;
   if (task->state != TASK_STARTED)
     return;
   task->job->open_runs++;
@@ -133,6 +136,7 @@
   job = add_job (b, state->job, now_ms);
   job->canceled = state->canceled;
   job->failed = state->failed;
+  job->begun = state->begun;
   job->ended_wall_ms = (cb_msec_t)state->ended_ms;
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     for (size_t i = 0; i < job->spec->n_steps && n < state->n_steps; i++, n++)
--- a/batch/state.c
+++ b/batch/state.c
@@ -77,6 +77,7 @@
   if (b == NULL)
     return;
   g_queue_clear_full (&b->records, cb_msg_free);
+  cb_msg_free (b->begun_record);
   g_queue_clear (&b->job_list);
   cb_batch_advice_request_free (b->advice_request);
   g_hash_table_unref (b->jobs);
@@ -309,10 +310,11 @@
     return CB_JOB_FAILED;
   if (job->ended_wall_ms != 0)
     return CB_JOB_COMPLETED;
-  return job->started ? CB_JOB_RUNNING : CB_JOB_QUEUED;
+  return job->begun ? CB_JOB_RUNNING : CB_JOB_QUEUED;
 }
 
-/* Returns how many open jobs of QUEUE have not started a task. */
+/* Returns how many open jobs of QUEUE have no task that has begun. A start in the log
+   does not count: its worker may refuse it. */
 uint32_t
 cb_batch_pending_jobs (const cb_batch_t *b, const char *queue)
 {
@@ -322,7 +324,7 @@
     {
       const job_t *job = l->data;
 
-      count += job_open (job) && !job->started && strcmp (job->spec->queue, queue) == 0;
+      count += job_open (job) && !job->begun && strcmp (job->spec->queue, queue) == 0;
     }
   return count;
 }
@@ -333,7 +335,7 @@
   if (!job_open (job))
     return;
   totals->jobs++;
-  totals->jobs_waiting += !job->started;
+  totals->jobs_waiting += !job->begun;
   for (uint32_t k = 0; k < job->n_occurrences; k++)
     for (size_t i = 0; i < job->spec->n_steps; i++)
       {
--- a/test/batch_test.cc
+++ b/test/batch_test.cc
@@ -640,6 +640,64 @@
   cb_batch_free (copy);
 }
 
+// Guards against a job that counts as running, and not as pending, as the log has
+// starts of it that its workers have refused or never seen.
+TEST (Batch, JobIsPendingUntilATaskHasBegun)
+{
+  for (bool refused : { true, false })
+    {
+      BatchSimulation sim (3, 3);
+
+      for (auto &w : sim.workers)
+        (refused ? w->rejects_starts : w->calls_lost) = true;
+      sim.Submit ("j", 1, { { 1, 8 } });
+      for (int i = 0; i < 30; i++)
+        {
+          sim.Advance (100);
+          for (cb_batch_t *replica : sim.Replicas ())
+            EXPECT_EQ (cb_batch_pending_jobs (replica, "q1"), 1u) << refused << i;
+          EXPECT_EQ (sim.Status ("j"), CB_JOB_QUEUED);
+        }
+      for (auto &w : sim.workers)
+        w->rejects_starts = w->calls_lost = false;
+      sim.run_time_ms["j"] = 60000;
+      sim.AdvanceUntilRunning ("j", 10000);
+      ASSERT_EQ (sim.Running ("j"), 1);
+      sim.Advance (500);
+      for (cb_batch_t *replica : sim.Replicas ())
+        EXPECT_EQ (cb_batch_pending_jobs (replica, "q1"), 0u) << refused;
+      EXPECT_EQ (sim.Status ("j"), CB_JOB_RUNNING);
+    }
+}
+
+// Guards against a job that counts as pending again, as the worker of its only run was
+// lost, its scheduler replaced or the record that it has begun refused.
+TEST (Batch, JobThatHasBegunIsNotPendingAgain)
+{
+  BatchSimulation sim (1, 1);
+
+  sim.run_time_ms["j"] = 60000;
+  sim.log_refuses = true;
+  sim.Submit ("j", 1, { { 1, 8 } });
+  sim.Advance (100);
+  sim.log_refuses = false;
+  sim.AdvanceUntilRunning ("j", 1000);
+  sim.log_refuses = true;
+  sim.Advance (500);
+  sim.log_refuses = false;
+  sim.Advance (5000);
+  EXPECT_EQ (cb_batch_pending_jobs (sim.standby, "q1"), 0u);
+  sim.Lose (*sim.workers[0]);
+  sim.Advance (20000);
+  EXPECT_EQ (sim.Running ("j"), 0);
+  EXPECT_EQ (cb_batch_pending_jobs (sim.standby, "q1"), 0u);
+  sim.ReloadIdle ();
+  sim.TakeOver ();
+  sim.Advance (1000);
+  EXPECT_EQ (sim.Status ("j"), CB_JOB_RUNNING);
+  EXPECT_EQ (cb_batch_pending_jobs (sim.standby, "q1"), 0u);
+}
+
 // Starts and ends whose record was definitely not appended are decided again.
 TEST (Batch, RecordsThatWereNotAppendedAreProposedAgain)
 {
