Keep the parameters of an accepted job's advisor

Whether a step is advised, and the times of the request, came from the newest configuration, while all else that a job needs was stored with it. Without the route a step that had not been looked at before counted as one that needs no advice, and no request was made for one that did.

The entry stores the advisor's parameters with the job when it accepts it. They count while the present configuration does not have the queue with an advisor.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -93,6 +93,20 @@
   return decision->ticket != NULL && *now_ms > decision->usable_until_ms;
 }
 
+/* Sets the parameters of JOB's advisor to those of QUEUE, with which JOB is accepted:
+   its steps need tickets also when a later configuration lacks the queue. */
+void
+cb_batch_keep_advice (Cb__BatchJob *job, const cb_batch_queue_t *queue)
+{
+  job->advised = queue->advised;
+  if (!queue->advised)
+    return;
+  job->advice_base_ms = (uint32_t)queue->advice_base_ms;
+  job->advice_per_worker_ms = (uint32_t)queue->advice_per_worker_ms;
+  job->ticket_validity_ms = (uint32_t)queue->ticket_validity_ms;
+}
+
+/* Returns JOB's queue if the present configuration has it with an advisor, or NULL. */
 static const cb_batch_queue_t *
 advised_queue (const cb_batch_t *b, const job_t *job)
 {
@@ -108,13 +122,36 @@
   return NULL;
 }
 
-/* Updates whether the step's queue is advised, and discards expired tickets. Must
-   precede the placement of the step. */
+/* TRUE when tasks of JOB run only where the advisor permits it. */
+static gboolean
+is_advised (const cb_batch_t *b, const job_t *job)
+{
+  return job->spec->advised || advised_queue (b, job) != NULL;
+}
+
+/* Sets the times of REQUEST for JOB by the present configuration, or by that with which
+   JOB was accepted. */
+static void
+set_request_times (const cb_batch_t *b, const job_t *job,
+                   cb_batch_advice_request_t *request)
+{
+  const cb_batch_queue_t *queue = advised_queue (b, job);
+  cb_msec_t base_ms = queue != NULL ? queue->advice_base_ms : job->spec->advice_base_ms;
+  cb_msec_t per_worker_ms =
+      queue != NULL ? queue->advice_per_worker_ms : job->spec->advice_per_worker_ms;
+
+  request->advice_ms = base_ms + per_worker_ms * (cb_msec_t)request->candidates->len;
+  request->ticket_validity_ms =
+      queue != NULL ? queue->ticket_validity_ms : job->spec->ticket_validity_ms;
+}
+
+/* Updates whether the step is advised, and discards expired tickets. Must precede the
+   placement of the step. */
 void
 advice_refresh (const cb_batch_t *b, const job_t *job, step_state_t *step,
                 cb_msec_t now_ms)
 {
-  step->advised = step->advised || advised_queue (b, job) != NULL;
+  step->advised = step->advised || is_advised (b, job);
   if (step->decisions != NULL)
     g_hash_table_foreach_remove (step->decisions, is_expired, &now_ms);
 }
@@ -184,10 +221,9 @@
 advice_prepare_request (cb_batch_t *b, GPtrArray *capacities, const task_t *task,
                         gboolean ask_all)
 {
-  const cb_batch_queue_t *queue = advised_queue (b, task->job);
   cb_batch_advice_request_t *request;
 
-  if (b->advice_request != NULL || queue == NULL ||
+  if (b->advice_request != NULL || !is_advised (b, task->job) ||
       !advice_incomplete (capacities, task, FALSE))
     return;
   request = g_new0 (cb_batch_advice_request_t, 1);
@@ -203,9 +239,7 @@
       cb_batch_advice_request_free (request);
       return;
     }
-  request->advice_ms = queue->advice_base_ms + queue->advice_per_worker_ms *
-                                                   (cb_msec_t)request->candidates->len;
-  request->ticket_validity_ms = queue->ticket_validity_ms;
+  set_request_times (b, task->job, request);
   b->advice_request = request;
 }
 
--- a/batch/fns.h
+++ b/batch/fns.h
@@ -81,6 +81,7 @@
 gboolean cb_lag_is_slow (const cb_lag_t *lag, cb_msec_t now_ms);
 
 /* advice.c */
+void cb_batch_keep_advice (Cb__BatchJob *job, const cb_batch_queue_t *queue);
 cb_batch_advice_request_t *cb_batch_pop_advice_request (cb_batch_t *batch);
 void cb_batch_advice_request_free (cb_batch_advice_request_t *request);
 void cb_batch_apply_advice (cb_batch_t *batch, const cb_batch_advice_request_t *request,
--- a/cmd/batch_http.c
+++ b/cmd/batch_http.c
@@ -234,6 +234,7 @@
   job->attempts = queue->attempts;
   job->stretch_milli = (uint32_t)(queue->stretch * 1000);
   job->slack_ms = queue->slack_ms;
+  cb_batch_keep_advice (job, queue);
   job->accepted_ms = (uint64_t)cb_clock_wall (entry->clock);
   err = cb_batch_admit (entry->batch, job, &retry_after_ms);
   if (err < 0)
--- a/test/batch_advice_test.cc
+++ b/test/batch_advice_test.cc
@@ -102,6 +102,32 @@
   EXPECT_EQ (sim.workers[1]->running.size (), 1u);
 }
 
+// Guards against an accepted job that never ends as a later configuration lacks its
+// queue: its next step would be started without tickets, or not at all.
+TEST (BatchAdvice, JobKeepsItsAdvisorWhenItsQueueIsDropped)
+{
+  for (const std::string successor : { "none", "entry", "snapshot" })
+    {
+      BatchSimulation sim (3, 3);
+      StepSpec second;
+
+      sim.EnableAdvisor (1, { "w1" }, 5000);
+      second.after = { 0 };
+      sim.SubmitAndRun ("j", 1, { {}, second }, 2000, 500);
+      ASSERT_EQ (sim.Running ("j"), 1) << successor;
+      sim.DropQueues ();
+      if (successor == "snapshot")
+        sim.ReloadIdle ();
+      if (successor != "none")
+        sim.TakeOver ();
+      sim.Advance (3000);
+      EXPECT_EQ (sim.workers[1]->running.count ("j.0.1.0"), 1u) << successor;
+      EXPECT_EQ (sim.refused_tickets, 0) << successor;
+      sim.Advance (1500);
+      EXPECT_EQ (sim.Status ("j"), CB_JOB_COMPLETED) << successor;
+    }
+}
+
 // Guards against work that never starts because the fleet has more workers than one
 // request may contain, and the permitted ones come last.
 TEST (BatchAdvice, LargeFleetNeedsSeveralRequests)
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -229,6 +229,12 @@
     job->attempts = attempts;
     job->stretch_milli = priority == 0 ? 1500 : 3000;
     job->slack_ms = priority == 0 ? 250 : 3000;
+    for (guint i = 0; i < config->queues->len; i++)
+      {
+        auto *q = static_cast<cb_batch_queue_t *> (config->queues->pdata[i]);
+        if (strcmp (q->name, job->queue) == 0)
+          cb_batch_keep_advice (job, q);
+      }
     job->times = times;
     job->start_at_ms = static_cast<uint64_t> (now);
     job->interval_ms = static_cast<uint64_t> (interval_ms);
@@ -485,6 +491,15 @@
     advisor.allowed = std::move (allowed);
     advisor.ticket_validity_ms = validity_ms;
   }
+  // Brings a configuration without queues and accounts into force.
+  void
+  DropQueues ()
+  {
+    cb_batch_config_unref (config);
+    config = cb_batch_config_new ();
+    for (cb_batch_t *replica : Replicas ())
+      cb_batch_set_config (replica, config);
+  }
   // Delivers the worker's latest report once more, if it was made for this epoch.
   void
   RepeatReport (Worker &w)
