Count leases that were granted before a restart of all entries from the log

A record that leases have stopped says for how long they may last, and each process counted this from the time at which it applied the record. A process that starts applies it long after it was written, and where all have started anew none knows better.

The fold adds up what has passed between records of one epoch, and a new scheduler waits for what is then left of a lease, or for what its own clock since the application leaves, whichever is less. What passes from a scheduler's last record to the first one of its successor is not counted, so each restart costs the downtime and at most one heartbeat.

Why no run begins elsewhere before the worker's lease has ended: - The clocks are monotonic (cb_batch_now_ms) and compared only with clocks of the same epoch, that is of the same process: a claim ends the comparison. The wall clock is not used, so its steps (`clock_step`) do not matter. A process that is suspended counts too little at worst. - A record with a later time was made when at least that much time had passed since the record about the leases. Both get their time when they are handed to the writer, the latter not before its time left was worked out, so the end is never early by a delay in a queue. Appends that the store repeats have an older time and count for nothing. - The time left includes what it did before: the worker's clock 2% slow (LEASE_SLACK), and TAKEOVER_GRANT_MS for schedulers that may still grant without having read the log, as the scheduler that stops the leases adds it to the end of the lease of each worker that it has not heard (reset_lease).

Not changed: the 4 s that the first unplanned take-over adds, and a wait that begins after an outage of the store in which the record was not stored. The restart of all entries within 2 s of the loss waits for a whole lease, once.

RestartsOfAllEntriesDoNotEndALeaseEarly plays 168 times of restarts with a slow worker and a scheduler that does not notice its replacement; it fails if clocks of two epochs are compared, or if 1.3 of the time is counted. ResumedLeasesCountAfterARestartOfAllEntries.

--- a/batch/fold.c
+++ b/batch/fold.c
@@ -133,6 +133,7 @@
   note_grants_of_predecessor (b, now_ms);
   b->epoch = offset + 1;
   b->lease_number = 0;
+  b->scheduler_clock_ms = 0;
   b->resigned = FALSE;
   b->scheduler_seen_ms = now_ms;
   g_free (b->scheduler);
@@ -421,7 +422,10 @@
       return;
     }
   if (record->epoch != 0)
-    b->scheduler_seen_ms = now_ms;
+    {
+      b->scheduler_seen_ms = now_ms;
+      note_scheduler_clock (b, record->clock_ms);
+    }
   switch (record->body_case)
     {
     case CB__BATCH_RECORD__BODY_SUBMIT:
--- a/batch/leases.c
+++ b/batch/leases.c
@@ -72,13 +72,24 @@
   b->earlier_grants_end_ms = now_ms + TAKEOVER_GRANT_MS;
 }
 
+/* Returns how much longer leases of W may last at NOW_MS, while the log says that none
+   are granted: by the time since this process has applied the record, or by the time
+   between later records, whichever is more. A process that has started since then has
+   applied them at once. */
+static cb_msec_t
+leases_left_ms (const cb_batch_t *b, const worker_t *w, cb_msec_t now_ms)
+{
+  return MIN (w->leases_over_ms - now_ms,
+              w->leases_over_witnessed_ms - b->witnessed_ms);
+}
+
 /* Sets the end of W's leases for a process that becomes the scheduler at NOW_MS. */
 void
 reset_lease (const cb_batch_t *b, worker_t *w, cb_msec_t now_ms)
 {
   w->lease_proposed = FALSE;
   w->lease_end_ms = w->leases_stopped
-                        ? MAX (w->leases_over_ms, now_ms + HEARING_MS)
+                        ? now_ms + MAX (leases_left_ms (b, w, now_ms), HEARING_MS)
                         : latest_lease_end (b, MAX (now_ms, b->earlier_grants_end_ms));
 }
 
@@ -253,6 +264,27 @@
   propose_lease (b, w, FALSE, w->lease_end_ms - now_ms);
 }
 
+/* Notes that the scheduler's process wrote a record of this epoch at CLOCK_MS of its
+   clock; 0: the record does not say. */
+void
+note_scheduler_clock (cb_batch_t *b, uint64_t clock_ms)
+{
+  if (b->scheduler_clock_ms != 0 && clock_ms > b->scheduler_clock_ms)
+    b->witnessed_ms += (cb_msec_t)(clock_ms - b->scheduler_clock_ms);
+  b->scheduler_clock_ms = MAX (b->scheduler_clock_ms, clock_ms);
+}
+
+/* Notes at NOW_MS that, by the log, no leases are granted to W, and that those before
+   last LEFT_MS at most. */
+static void
+note_leases_stopped (const cb_batch_t *b, worker_t *w, cb_msec_t left_ms,
+                     cb_msec_t now_ms)
+{
+  w->leases_stopped = TRUE;
+  w->leases_over_ms = now_ms + left_ms;
+  w->leases_over_witnessed_ms = b->witnessed_ms + left_ms;
+}
+
 /* Applies what the scheduler has said of leases. The record was written before NOW_MS,
    so that leases end no later than its time left counted from here. A record that the
    log has taken a second time is ignored, as leases may have been granted since. */
@@ -270,10 +302,11 @@
       if (w == NULL)
         continue;
       w->lease_proposed = FALSE;
-      w->leases_stopped = !lease->granted;
-      w->leases_over_ms = now_ms + (cb_msec_t)lease->left_ms;
+      w->leases_stopped = FALSE;
       if (lease->granted)
         change_commands (b, w);
+      else
+        note_leases_stopped (b, w, lease->left_ms, now_ms);
     }
 }
 
@@ -291,6 +324,17 @@
     }
 }
 
+/* Returns how much longer leases of W may last, for a snapshot that is made at NOW_MS:
+   in the scheduler from now on, in other processes from its latest record on, if that
+   has its clock. */
+static cb_msec_t
+saved_left_ms (const cb_batch_t *b, const worker_t *w, cb_msec_t now_ms)
+{
+  if (b->own_epoch == 0 && b->scheduler_clock_ms != 0)
+    return w->leases_over_witnessed_ms - b->witnessed_ms;
+  return leases_left_ms (b, w, now_ms);
+}
+
 /* Adds to SNAPSHOT the workers with runs to which no leases are granted, as of
    NOW_MS. */
 void
@@ -300,6 +344,7 @@
   gpointer value;
 
   snapshot->lease_number = b->lease_number;
+  snapshot->clock_ms = b->own_epoch == 0 ? b->scheduler_clock_ms : (uint64_t)now_ms;
   g_hash_table_iter_init (&iter, b->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -312,7 +357,7 @@
       cb_msg_set_string (&lease->worker, w->id);
       lease->born_ms = w->incarnation_ms;
       lease->left_ms =
-          (uint32_t)CLAMP (w->leases_over_ms - now_ms, 0, (cb_msec_t)G_MAXUINT32);
+          (uint32_t)CLAMP (saved_left_ms (b, w, now_ms), 0, (cb_msec_t)G_MAXUINT32);
       cb_msg_append ((void ***)&snapshot->leases, &snapshot->n_leases, lease);
     }
 }
@@ -322,14 +367,13 @@
 load_leases (cb_batch_t *b, const Cb__BatchSnapshot *snapshot, cb_msec_t now_ms)
 {
   b->lease_number = snapshot->lease_number;
+  b->scheduler_clock_ms = snapshot->clock_ms;
   for (size_t i = 0; i < snapshot->n_leases; i++)
     {
       const Cb__WorkerLease *lease = snapshot->leases[i];
       worker_t *w = find_worker (b, lease->worker, lease->born_ms);
 
-      if (w == NULL)
-        continue;
-      w->leases_stopped = TRUE;
-      w->leases_over_ms = now_ms + (cb_msec_t)lease->left_ms;
+      if (w != NULL)
+        note_leases_stopped (b, w, lease->left_ms, now_ms);
     }
 }
--- a/batch/local.h
+++ b/batch/local.h
@@ -157,6 +157,7 @@
      all leases are over at leases_over_ms. */
   gboolean leases_stopped;
   cb_msec_t leases_over_ms;
+  cb_msec_t leases_over_witnessed_ms; /* the same as a value of witnessed_ms */
   /* Scheduler. */
   gboolean
       lease_proposed; /* a change of `leases_stopped` was proposed and is not applied */
@@ -300,6 +301,11 @@
   cb_msec_t scheduler_grants_end_ms;
   cb_msec_t earlier_grants_end_ms;
   uint64_t lease_number; /* of the latest record with leases of this epoch; 0: none */
+  /* Clock of the scheduler's process in its latest record of this epoch; 0: unknown. */
+  uint64_t scheduler_clock_ms;
+  /* Time that has passed by the clocks of the schedulers, each between its own records:
+     less than has really passed. */
+  cb_msec_t witnessed_ms;
   /* Scheduler. */
   uint64_t own_epoch;           /* 0: this process is not the scheduler */
   cb_msec_t scheduler_since_ms; /* when own_epoch was set */
@@ -397,6 +403,7 @@
 
 /* leases.c */
 cb_msec_t latest_lease_end (const cb_batch_t *b, cb_msec_t granted_ms);
+void note_scheduler_clock (cb_batch_t *b, uint64_t clock_ms);
 void apply_leases (cb_batch_t *b, const Cb__BatchLeases *leases, cb_msec_t now_ms);
 void note_grants_end (cb_batch_t *b, gboolean process_ended, cb_msec_t now_ms);
 void note_grants_of_predecessor (cb_batch_t *b, cb_msec_t now_ms);
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -123,7 +123,8 @@
 }
 
 /* Appends RECORD to the log, takes ownership of it and calls DONE (may be NULL) once
-   with the outcome. */
+   with the outcome. Records of the scheduler get the time by its clock: later ones show
+   to other processes how much time has passed. */
 void
 cb_batch_append (cb_batch_entry_t *entry, Cb__BatchRecord *record,
                  cb_batch_append_done_t done, void *ctx)
@@ -133,6 +134,8 @@
 
   append->entry = entry;
   append->added_ms = cb_batch_now_ms ();
+  if (record->epoch != 0)
+    record->clock_ms = (uint64_t)append->added_ms;
   append->record = record;
   append->done = done;
   append->ctx = ctx;
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -158,10 +158,18 @@
     cb_batch_set_config (others.back (), config);
     Reload (others.back ());
   }
+  // The clock of the scheduler's process: those of different processes differ.
+  uint64_t
+  SchedulerClock () const
+  {
+    return static_cast<uint64_t> (now) + (epoch % 3) * 10000000;
+  }
   // Appends a record and applies it to all replicas that read the log.
   uint64_t
   Append (Cb__BatchRecord *record)
   {
+    if (record->epoch != 0 && record->clock_ms == 0)
+      record->clock_ms = SchedulerClock ();
     for (cb_batch_t *replica : Replicas ())
       if (replica != earlier_)
         cb_batch_apply (replica, offset, record, now, now);
@@ -382,7 +390,7 @@
   {
     if (log_unavailable)
       return;
-    while (Cb__BatchRecord *record = cb_batch_pop_record (active))
+    while (Cb__BatchRecord *record = NextRecord ())
       if (too_large_records > 0 ||
           cb__batch_record__get_packed_size (record) > params.record_bytes_max)
         {
@@ -452,11 +460,20 @@
     cb_batch_handle_report (active, agent.c_str (), report, now);
     cb_msg_free (report);
   }
+  // Returns a snapshot of the scheduler; freed with cb_msg_free.
+  Cb__BatchSnapshot *
+  NewSnapshot () const
+  {
+    Cb__BatchSnapshot *snapshot = cb_batch_save_snapshot (active, offset, now);
+
+    snapshot->clock_ms = SchedulerClock ();
+    return snapshot;
+  }
   // Replaces REPLICA, which is not the scheduler, by one that begins from a snapshot.
   void
   Reload (cb_batch_t *&replica)
   {
-    Cb__BatchSnapshot *snapshot = cb_batch_save_snapshot (active, offset, now);
+    Cb__BatchSnapshot *snapshot = NewSnapshot ();
 
     cb_batch_free (replica);
     replica = cb_batch_new (&params);
@@ -469,6 +486,39 @@
   {
     Reload (active == primary ? standby : primary);
   }
+  // Makes a snapshot, from which RestartAll begins.
+  void
+  SaveSnapshot ()
+  {
+    snapshot_.reset (reinterpret_cast<ProtobufCMessage *> (NewSnapshot ()),
+                     cb_msg_free);
+    log.clear ();
+    keep_log = true;
+  }
+  // Ends the processes of all entries. New ones begin from the latest snapshot and the
+  // log DOWN_MS later, and one of them becomes the scheduler.
+  void
+  RestartAll (cb_msec_t down_ms)
+  {
+    auto *snapshot = reinterpret_cast<Cb__BatchSnapshot *> (snapshot_.get ());
+
+    now += down_ms;
+    for (cb_batch_t **replica : { &primary, &standby })
+      {
+        cb_batch_free (*replica);
+        *replica = cb_batch_new (&params);
+        cb_batch_set_config (*replica, config);
+        cb_batch_load_snapshot (*replica, snapshot, now, now);
+        for (size_t i = 0; i < log.size (); i++)
+          {
+            Cb__BatchRecord *record =
+                cb__batch_record__unpack (nullptr, log[i].size (), log[i].data ());
+            cb_batch_apply (*replica, snapshot->next + i, record, now, now);
+            cb_msg_free (record);
+          }
+      }
+    Claim (primary);
+  }
   // Makes the replica that is not the scheduler the scheduler.
   void
   TakeOver ()
@@ -537,7 +587,8 @@
 
   cb_batch_t *active = nullptr;
   cb_batch_t *earlier_ = nullptr;
-  bool resigned_ = false; // the scheduler has
+  bool resigned_ = false;                      // the scheduler has
+  std::shared_ptr<ProtobufCMessage> snapshot_; // Cb__BatchSnapshot
   // Offset and record, not read by the earlier scheduler.
   std::vector<std::pair<uint64_t, std::shared_ptr<ProtobufCMessage> > > unread_;
   std::vector<LateStart> late_starts_;
@@ -618,6 +669,16 @@
   {
     return w.earlier != nullptr ? w.earlier : active;
   }
+  // Returns the scheduler's next record, or null.
+  Cb__BatchRecord *
+  NextRecord ()
+  {
+    Cb__BatchRecord *record = cb_batch_pop_record (active);
+
+    if (record != nullptr)
+      record->clock_ms = SchedulerClock ();
+    return record;
+  }
   void
   AppendRecordsAgain ()
   {
--- a/test/batch_lease_test.cc
+++ b/test/batch_lease_test.cc
@@ -383,6 +383,112 @@
   EXPECT_LE (sim.AdvanceUntilRunning ("j", 30000), 3000);
 }
 
+// Advances the time by FOR_MS, with a heartbeat of the scheduler each 250 ms.
+void
+AdvanceWithHeartbeats (BatchSimulation &sim, cb_msec_t for_ms)
+{
+  for (cb_msec_t until = sim.now + for_ms; sim.now < until;)
+    {
+      sim.Advance (std::min<cb_msec_t> (250, until - sim.now));
+      sim.Append (sim.NewHeartbeat ());
+    }
+}
+
+// Guards against a wait for the lease of a lost worker that a restart of all entries
+// begins anew, from the time at which they read the log.
+TEST (BatchLease, RestartOfAllEntriesDoesNotRepeatTheWait)
+{
+  for (bool snapshot : { false, true })
+    {
+      BatchSimulation sim (3, 3);
+
+      Worker *w = StartAndCutOff (sim, 60000, 0);
+      ASSERT_NE (w, nullptr);
+      sim.SaveSnapshot ();
+      sim.Lose (*w);
+      AdvanceWithHeartbeats (sim, 3000);
+      if (snapshot)
+        sim.SaveSnapshot ();
+      AdvanceWithHeartbeats (sim, 2000);
+      sim.RestartAll (500);
+      EXPECT_LE (sim.AdvanceUntilRunning ("j", 30000), kLeaseMs - 5000 + 500)
+          << snapshot;
+    }
+}
+
+// Guards against a task that never runs again as all entries restart sooner than the
+// lease of its lost worker would be over.
+TEST (BatchLease, RepeatedRestartsOfAllEntriesDoNotRepeatTheWait)
+{
+  BatchSimulation sim (3, 3);
+
+  Worker *w = StartAndCutOff (sim, 60000, 0);
+  ASSERT_NE (w, nullptr);
+  sim.SaveSnapshot ();
+  sim.Lose (*w);
+  AdvanceWithHeartbeats (sim, 2500);
+  cb_msec_t since = sim.now;
+  while (sim.Running ("j") == 0 && sim.now < since + 64000)
+    {
+      sim.RestartAll (300);
+      AdvanceWithHeartbeats (sim, 1500);
+    }
+  // What passes between the last record and the return does not count.
+  EXPECT_LE (sim.now - since, 2 * kLeaseMs);
+}
+
+// Guards against a second run of a task, as too much of the lease of its worker, whose
+// clock is 2% slow, is taken as over after restarts of all entries, with schedulers in
+// between that have not seen each other's records.
+TEST (BatchLease, RestartsOfAllEntriesDoNotEndALeaseEarly)
+{
+  for (cb_msec_t first_ms = 0; first_ms < 7000; first_ms += 170)
+    for (cb_msec_t next_ms : { 0, 400, 1300, 2900 })
+      {
+        BatchSimulation sim (3, 3);
+
+        Worker *w = StartAndCutOff (sim, 60000, 0);
+        ASSERT_NE (w, nullptr);
+        sim.SaveSnapshot ();
+        cb_msec_t granted_ms = static_cast<cb_msec_t> (w->lease_ms) - 6000;
+        w->lease_ms = static_cast<uint64_t> (granted_ms + 6000 * 100 / 98);
+        w->reachable = false;
+        AdvanceWithHeartbeats (sim, first_ms);
+        if (first_ms % 340 == 0)
+          sim.SaveSnapshot ();
+        sim.RestartAll (200);
+        AdvanceWithHeartbeats (sim, next_ms);
+        if (next_ms == 1300)
+          sim.ClaimUnnoticed (sim.standby, {});
+        AdvanceWithHeartbeats (sim, next_ms);
+        if (next_ms == 1300)
+          sim.EndEarlierScheduler ();
+        sim.RestartAll (200);
+        AdvanceWithHeartbeats (sim, 9000);
+        EXPECT_EQ (sim.violations, std::vector<std::string> ())
+            << first_ms << " " << next_ms;
+      }
+}
+
+// Guards against a second run of a task, as its worker was silent for a while before it
+// got leases again, and new processes take those as over that it got before.
+TEST (BatchLease, ResumedLeasesCountAfterARestartOfAllEntries)
+{
+  BatchSimulation sim (3, 3);
+
+  Worker *w = StartAndCutOff (sim, 60000, 0);
+  ASSERT_NE (w, nullptr);
+  sim.SaveSnapshot ();
+  AdvanceWithHeartbeats (sim, 2500);
+  w->reachable = true;
+  AdvanceWithHeartbeats (sim, 4000);
+  w->reachable = false;
+  AdvanceWithHeartbeats (sim, 500);
+  sim.RestartAll (200);
+  AdvanceWithHeartbeats (sim, 12000);
+  EXPECT_EQ (sim.violations, std::vector<std::string> ());
+}
+
 // Guards against a worker with leases that have been over for long whose runs are taken
 // as lost before it can report to a new scheduler how they ended.
 TEST (BatchLease, EndBeforeTheLapseCountsAfterATakeOver)
