Do not repeat a start to a worker that may be another incarnation

A call names only the worker's id and address. The new incarnation has seen no fencing token, and its clock starts anew, so neither the token nor the lease of a start guards against it.

The agent now repeats a start only after a call for the worker's lists, made after the failed one, has returned: the lists state when the worker started, and those of another incarnation drop its commands. After a refused connection no start is sent until then, also none that was not sent before. The call for the lists that is under way, which the worker may hold, is not waited for.

--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -78,10 +78,14 @@
   gboolean poll_pending;     /* a call for the worker's lists is under way */
   uint64_t poll_epoch;       /* under which the latest such call was made */
   uint64_t poll_durable_end; /* last_durable_end when it was made */
-  gboolean worker_unreachable; /* the last call for the lists failed */
-  uint64_t poll_number;        /* of the latest such call */
-  cb_msec_t poll_retry_ms;     /* earliest next call after a failed one */
-  cb_msec_t term_ms;           /* when SIGTERM was noticed; 0: not yet */
+  gboolean worker_unreachable;  /* the last call for the lists failed */
+  uint64_t poll_number;         /* of the latest such call */
+  cb_msec_t poll_wait_ms;       /* for which the worker may hold its reply */
+  uint64_t confirm_poll_number; /* starts wait for lists from a later call */
+  uint64_t absent_poll_number;  /* poll_number when nobody listened at the worker's
+                                   address, or the worker was another one */
+  cb_msec_t poll_retry_ms;      /* earliest next call after a failed one */
+  cb_msec_t term_ms;            /* when SIGTERM was noticed; 0: not yet */
 } cb_batch_agent_t;
 
 G_BEGIN_DECLS
@@ -101,6 +105,7 @@
                                 cb_msec_t took_ms);
 void cb_batch_agent_send_report (cb_batch_agent_t *agent);
 void cb_batch_agent_poll_worker (cb_batch_agent_t *agent);
+void cb_batch_agent_confirm_worker (cb_batch_agent_t *agent, uint64_t poll_number);
 void cb_batch_agent_forget_worker (cb_batch_agent_t *agent, const char *reason);
 GPtrArray *cb_batch_agent_ended_workers_new (void);
 void cb_batch_agent_drop_ended_worker (cb_batch_agent_t *agent, const char *worker);
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -210,6 +210,8 @@
   cb_batch_agent_count_call (agent, kinds[kind].name, err,
                              cb_batch_now_ms () - command->sent_ms);
   command->answer_poll_number = agent->poll_number;
+  if (err == CB_PLATFORM_ABSENT)
+    agent->absent_poll_number = agent->poll_number;
   command->reply_ms = cb_batch_now_ms ();
   command->retry_ms = command->reply_ms + CB_AGENT_RETRY_MS;
   if (command->revoked && (err == CB_OK || err == CB_PLATFORM_REJECTED))
@@ -255,6 +257,18 @@
          !is_listed (agent, command->run);
 }
 
+/* Returns the number of the call for the worker's lists after which the start COMMAND
+   may be sent, once a later one has returned: a call names only the worker's id, so
+   another incarnation, which the scheduler has not chosen, would execute a start as
+   well. One may be there since the last call of COMMAND has failed, or since nobody
+   listened at the address. */
+static uint64_t
+unconfirmed_poll_number (const cb_batch_agent_t *agent, const command_t *command)
+{
+  return MAX (agent->absent_poll_number,
+              command->tried ? command->answer_poll_number : 0);
+}
+
 /* Returns why the start COMMAND is not to be sent again, for the log, or NULL. */
 static const char *
 reason_to_revoke (const cb_batch_agent_t *agent, const command_t *command)
@@ -270,7 +284,8 @@
 /* Sends COMMAND to the worker. A start for a worker that drains or leaves, or that has
    not accepted it for long, is not repeated but revoked, as it may have been sent
    before: by an earlier process of this agent once lists show whether it runs, by this
-   one once they show that it does not. */
+   one once they show that it does not. A start is repeated only once the worker has
+   returned its lists again. */
 static void
 send_command (cb_batch_agent_t *agent, command_t *command)
 {
@@ -284,6 +299,12 @@
         return;
       revoke_start (command, reason_to_revoke (agent, command));
     }
+  if (command->kind == KIND_START && !command->revoked &&
+      agent->lists_poll_number <= unconfirmed_poll_number (agent, command))
+    {
+      cb_batch_agent_confirm_worker (agent, unconfirmed_poll_number (agent, command));
+      return;
+    }
   if (command->revoked && is_listed (agent, command->run))
     {
       command->state = COMMAND_ANSWERED;
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -187,6 +187,7 @@
   agent->ends_missed = FALSE;
   cb_batch_agent_forget_unread (agent);
   agent->lists_epoch = 0;
+  agent->absent_poll_number = agent->poll_number;
   agent->leaving = FALSE;
   cb_batch_agent_drop_commands (agent);
 }
@@ -331,6 +332,8 @@
       return;
     }
   agent->poll_pending = FALSE;
+  if (err == CB_PLATFORM_ABSENT)
+    agent->absent_poll_number = poll->number;
   if (current && is_other_incarnation (poll, lists))
     cb_batch_agent_forget_worker (agent, "restarted");
   else if (err == CB_OK && current)
@@ -383,6 +386,13 @@
          droppable_end (agent) > agent->acknowledged_end;
 }
 
+/* TRUE when starts wait for lists from a call that has not returned. */
+static gboolean
+confirmation_wanted (const cb_batch_agent_t *agent)
+{
+  return agent->lists_poll_number <= agent->confirm_poll_number;
+}
+
 /* Returns how long the worker may hold the next call for its lists until a run ends: at
    most until the next report of all runs is due. */
 static cb_msec_t
@@ -390,7 +400,8 @@
 {
   cb_msec_t since_ms = cb_batch_now_ms () - agent->last_full_ms;
 
-  if (agent->lists_epoch != agent->epoch || more_ends_wait (agent))
+  if (agent->lists_epoch != agent->epoch || more_ends_wait (agent) ||
+      confirmation_wanted (agent))
     return 0;
   return agent->report_interval_ms -
          (since_ms < agent->report_interval_ms ? since_ms : 0);
@@ -408,6 +419,7 @@
   gboolean superseded =
       agent->poll_pending &&
       (agent->poll_epoch != agent->epoch ||
+       (agent->poll_wait_ms > 0 && agent->poll_number <= agent->confirm_poll_number) ||
        (more_ends_wait (agent) && agent->poll_durable_end < droppable_end (agent)));
 
   if ((agent->poll_pending && !superseded) || !cb_batch_agent_has_worker (agent) ||
@@ -424,6 +436,7 @@
   agent->poll_epoch = agent->epoch;
   agent->poll_durable_end = droppable_end (agent);
   wait_ms = hold_ms (agent);
+  agent->poll_wait_ms = wait_ms;
   if (confirmed)
     agent->acknowledged_end = droppable_end (agent);
   target = cb_batch_agent_worker_target (agent);
@@ -436,9 +449,19 @@
    worker has refused the current epoch. The call also extends the worker's lease. A
    pending call under an earlier epoch is not waited for: the new scheduler needs the
    lists before it can place tasks. Nor is one that was sent before further ends of an
-   incomplete list could be acknowledged. */
+   incomplete list could be acknowledged, or before a start failed that waits for
+   lists. */
 void
 cb_batch_agent_poll_worker (cb_batch_agent_t *agent)
 {
   poll_worker (agent, FALSE);
 }
+
+/* Calls the worker for lists from a later call than POLL_NUMBER, for starts that wait
+   for them. */
+void
+cb_batch_agent_confirm_worker (cb_batch_agent_t *agent, uint64_t poll_number)
+{
+  agent->confirm_poll_number = MAX (agent->confirm_poll_number, poll_number);
+  poll_worker (agent, FALSE);
+}
--- a/test/platform_worker_test.cc
+++ b/test/platform_worker_test.cc
@@ -39,6 +39,29 @@
   EXPECT_EQ (site.Ends (1, "done"), 1);
 }
 
+// Guards against a start that reaches the next incarnation of its worker, which the
+// scheduler has not chosen and which may be of another kind: the agent repeated it
+// until somebody replied (review/6).
+TEST (PlatformSite, StartIsNotRepeatedToTheNextIncarnationOfItsWorker)
+{
+  constexpr int kFirstHeartbeatMs = 1500;
+  PlatformSite site (1, 1);
+
+  ASSERT_TRUE (site.Up ());
+  EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 100")).status, 200);
+  ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
+  site.Kill ("runner0");
+  EXPECT_EQ (site.Submit (0, 2, 0, site.Job (4, 1, "run 100")).status, 200);
+  ASSERT_TRUE (
+      site.Until ([&] { return site.Logged ("agent0", "event=start_failed"); }));
+  site.StartRunner (0, kFirstHeartbeatMs);
+  site.Pause (kFirstHeartbeatMs - 300);
+  EXPECT_EQ (site.Starts (2), 0);
+  EXPECT_TRUE (site.Until ([&] { return site.State (0, 2, 0) == "completed"; }));
+  EXPECT_EQ (site.Ends (2, "done"), 4);
+  site.CheckRuns ();
+}
+
 // Guards against a second run of a task that a restarted worker completed before its
 // first heartbeat: the agent took the new process for the earlier one, whose ends had
 // higher numbers, and acknowledged the end without having read it (review/4).
