Report a start that an unhealthy worker refuses at once

A task whose worker answered its start with 429 or 503 waited for 2 s before it could run elsewhere, although the worker had done nothing: the agent sent the start again until START_ACCEPTED_MS, then stopped the run, and reported it as rejected once lists had shown that it was absent.

The agent now reports such a start at its next tick (50 ms), also as `unhealthy`, so that the scheduler can tell it from one that has no room. Calls for the start that may still be carried out need a stop first, as before: those that got no reply, and those of an earlier process of the agent or of a start that was withdrawn. The latter two are over once a lease that began before has ended, as a start names its end and the worker refuses it after that.

Tests: PlatformWaits.StartThatABusyWorkerNeverAcceptsIsPlacedAnew expected the reason not_accepted within 10 s, which is the fault; it now expects unhealthy within 2 s. PlatformWaits.StartThatABusyWorkerRefusesMovesAtOnce is new and fails if the agent sends a stop each time.

--- a/cmd/batch_agent.c
+++ b/cmd/batch_agent.c
@@ -132,6 +132,8 @@
       now_ms - agent->last_commands_ms > REGISTER_SILENCE_MS)
     register_agent (agent);
   cb_batch_agent_poll_worker (agent);
+  if (agent->refusals_wait)
+    cb_batch_agent_send_report (agent);
   if (agent->term_ms == 0)
     cb_batch_agent_send_commands (agent);
 }
@@ -151,6 +153,7 @@
   agent.ended_workers = cb_batch_agent_ended_workers_new ();
   cb_batch_agent_commands_init (&agent);
   cb_batch_agent_unread_init (&agent);
+  agent.unresolved_start_ms = cb_batch_now_ms ();
   agent.last_commands_ms = cb_batch_now_ms () - REGISTER_SILENCE_MS - 1;
   agent.registration_ms = agent.last_commands_ms;
   agent.registration_pause_ms = REGISTER_SILENCE_MS;
--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -75,9 +75,14 @@
   GHashTable *commands;      /* key -> command_t of batch_agent_orders.c */
   GPtrArray *command_order;  /* of the same command_t, in the order of sending */
   uint32_t calls_under_way;  /* of commands */
-  gboolean poll_pending;     /* a call for the worker's lists is under way */
-  uint64_t poll_epoch;       /* under which the latest such call was made */
-  uint64_t poll_durable_end; /* last_durable_end when it was made */
+  gboolean refusals_wait;    /* rejected starts were added to the report since the last
+                                one */
+  /* When a start was last withdrawn that a call without a reply may still execute; at
+     first, when the process started, as an earlier one may have left such calls. */
+  cb_msec_t unresolved_start_ms;
+  gboolean poll_pending;        /* a call for the worker's lists is under way */
+  uint64_t poll_epoch;          /* under which the latest such call was made */
+  uint64_t poll_durable_end;    /* last_durable_end when it was made */
   gboolean worker_unreachable;  /* the last call for the lists failed */
   uint64_t poll_number;         /* of the latest such call */
   cb_msec_t poll_wait_ms;       /* for which the worker may hold its reply */
--- a/cmd/batch_agent_heartbeat.c
+++ b/cmd/batch_agent_heartbeat.c
@@ -97,6 +97,8 @@
       next->running_unread = report->running_unread;
       next->rejected = report->rejected;
       next->n_rejected = report->n_rejected;
+      next->unhealthy = report->unhealthy;
+      next->n_unhealthy = report->n_unhealthy;
       next->absent = report->absent;
       next->n_absent = report->n_absent;
       report->n_running = report->n_ended = report->n_rejected = report->n_absent = 0;
@@ -104,6 +106,8 @@
       report->ended = NULL;
       report->rejected = NULL;
       report->absent = NULL;
+      report->unhealthy = NULL;
+      report->n_unhealthy = 0;
     }
   cb_msg_free (agent->report);
   agent->report = next;
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -14,6 +14,10 @@
 /* A start that the worker has not accepted for this long is not repeated any more: the
    task may start elsewhere. */
 #define START_ACCEPTED_MS 2000
+/* A start names the end of its lease, at most hold_max_ms after it was sent by the
+   worker's clock, which is up to 2% slow. After this time the worker refuses it. */
+#define LEASE_SLACK 1.025
+#define LEASE_MARGIN_MS 300
 
 typedef enum
 {
@@ -53,7 +57,9 @@
   Cb__OrderedStart *start; /* KIND_START only */
   Cb__TaskPace *pace;      /* KIND_PACE only */
   command_state_t state;
-  gboolean tried;   /* a call was sent at least once */
+  gboolean tried;      /* a call was sent at least once */
+  gboolean unanswered; /* a call for the start got no reply: it may be executed later */
+  gboolean unhealthy;  /* the worker has refused the start as unhealthy */
   gboolean revoked; /* a start that is not to be executed any more is to be stopped, as
                        an earlier call for it may still be executed */
   uint64_t answer_poll_number; /* agent->poll_number when the reply arrived */
@@ -68,6 +74,9 @@
 {
   command_t *command = ptr;
 
+  if (command->kind == KIND_START && !command->revoked && !command->withdrawn &&
+      (command->state == COMMAND_SENT || command->unanswered))
+    command->agent->unresolved_start_ms = cb_batch_now_ms ();
   if (command->state == COMMAND_SENT)
     {
       command->withdrawn = TRUE;
@@ -129,6 +138,50 @@
                       run->occurrence, run->step, run->index, run->run, reason);
 }
 
+/* TRUE when no call for the start COMMAND can be executed any more, once the worker has
+   refused the latest one: no earlier one may have been left without a reply. */
+static gboolean
+is_refused_for_good (const cb_batch_agent_t *agent, const command_t *command)
+{
+  double hold_ms = agent->settings->hold_max_ms;
+
+  return !command->unanswered && hold_ms > 0 &&
+         cb_batch_now_ms () - agent->unresolved_start_ms >
+             (cb_msec_t)(hold_ms * LEASE_SLACK) + LEASE_MARGIN_MS;
+}
+
+/* Adds the start COMMAND to the rejected ones of REPORT. */
+static void
+add_rejected (Cb__WorkerReport *report, const command_t *command)
+{
+  cb_msg_append ((void ***)&report->rejected, &report->n_rejected,
+                 cb_msg_copy (&command->run->base));
+  if (command->unhealthy)
+    cb_msg_append ((void ***)&report->unhealthy, &report->n_unhealthy,
+                   cb_msg_copy (&command->run->base));
+}
+
+/* Lets the start COMMAND, which the worker has refused as unhealthy, run elsewhere: at
+   once, or after a stop if an earlier call may still be executed. */
+static void
+refuse_unhealthy (cb_batch_agent_t *agent, command_t *command)
+{
+  const Cb__TaskRun *run = command->run;
+
+  command->unhealthy = TRUE;
+  if (!is_refused_for_good (agent, command))
+    {
+      revoke_start (command, "unhealthy");
+      return;
+    }
+  command->state = COMMAND_REFUSED;
+  add_rejected (agent->report, command);
+  agent->refusals_wait = TRUE;
+  cb_event_unlimited (CB_LOG_INFO, "agent", "start_refused",
+                      "job=%s task=%u.%u.%u run=%u reason=unhealthy", run->job,
+                      run->occurrence, run->step, run->index, run->run);
+}
+
 /* TRUE when the run of COMMAND, whose stop the worker has answered, can't be running in
    a row that could not be read: a stop takes far less than CB_AGENT_UNREAD_ROW_MAX_MS.
  */
@@ -156,6 +209,7 @@
 
   clear_runs (&report->rejected, &report->n_rejected);
   clear_runs (&report->absent, &report->n_absent);
+  clear_runs (&report->unhealthy, &report->n_unhealthy);
   if (!are_lists_complete (report) || g_hash_table_size (agent->commands) == 0)
     return;
   listed = cb_batch_listed_runs (report);
@@ -164,7 +218,8 @@
     {
       command_t *command = value;
 
-      if (command->answer_poll_number >= poll_number ||
+      if ((command->answer_poll_number >= poll_number &&
+           !(command->state == COMMAND_REFUSED && !command->revoked)) ||
           g_hash_table_contains (listed, command->run))
         continue;
       if (command->kind == KIND_START && command->state == COMMAND_ANSWERED)
@@ -175,8 +230,7 @@
         cb_msg_append ((void ***)&report->absent, &report->n_absent,
                        cb_msg_copy (&command->run->base));
       else if (command->kind == KIND_START && command->state == COMMAND_REFUSED)
-        cb_msg_append ((void ***)&report->rejected, &report->n_rejected,
-                       cb_msg_copy (&command->run->base));
+        add_rejected (report, command);
     }
   g_hash_table_unref (listed);
 }
@@ -214,6 +268,8 @@
     agent->absent_poll_number = agent->poll_number;
   command->reply_ms = cb_batch_now_ms ();
   command->retry_ms = command->reply_ms + CB_AGENT_RETRY_MS;
+  command->unanswered =
+      command->unanswered || (kind == KIND_START && err == CB_PLATFORM_UNKNOWN);
   if (command->revoked && (err == CB_OK || err == CB_PLATFORM_REJECTED))
     command->state = COMMAND_REFUSED;
   else if (kind == KIND_START && err == CB_PLATFORM_REJECTED)
@@ -221,6 +277,8 @@
       command->revoked = TRUE;
       command->retry_ms = 0;
     }
+  else if (kind == KIND_START && err == CB_PLATFORM_BUSY)
+    refuse_unhealthy (agent, command);
   else if (err == CB_OK || err == CB_PLATFORM_REJECTED)
     command->state = COMMAND_ANSWERED;
   else if (err == CB_PLATFORM_FENCED)
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -128,6 +128,7 @@
     cb_event (CB_LOG_WARN, "agent", "report_not_sent", "scheduler=%s",
               agent->scheduler);
   cb_msg_free (envelope);
+  agent->refusals_wait = FALSE;
   agent->last_report_ms = cb_batch_now_ms ();
   if (!partial)
     agent->last_full_ms = agent->last_report_ms;
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -349,6 +349,8 @@
 
   if (run != NULL && run->run == run_number)
     run->stop_requested = TRUE;
+  else
+    cb_fake_event (&r->fake, "stop_absent", "\"task\":\"%s\"", task);
   g_hash_table_replace (r->highest, g_strdup (task),
                         GUINT_TO_POINTER (MAX (highest, run_number)));
   reply_accepted (req);
--- a/schema/batch.pb-c.c
+++ b/schema/batch.pb-c.c
@@ -3942,7 +3942,7 @@
   (ProtobufCMessageInit) cb__ended_worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cb__worker_report__field_descriptors[23] =
+static const ProtobufCFieldDescriptor cb__worker_report__field_descriptors[24] =
 {
   {
     "worker",
@@ -4220,6 +4220,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unhealthy",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cb__WorkerReport, n_unhealthy),
+    offsetof(Cb__WorkerReport, unhealthy),
+    &cb__task_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cb__worker_report__field_indices_by_name[] = {
   15,   /* field[15] = absent */
@@ -4243,13 +4255,15 @@
   19,   /* field[19] = running_partial */
   18,   /* field[18] = running_unread */
   2,   /* field[2] = service */
+  23,   /* field[23] = unhealthy */
   17,   /* field[17] = unread_end */
   0,   /* field[0] = worker */
 };
-static const ProtobufCIntRange cb__worker_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange cb__worker_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 25, 23 },
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor cb__worker_report__descriptor =
 {
@@ -4259,10 +4273,10 @@
   "Cb__WorkerReport",
   "cb",
   sizeof(Cb__WorkerReport),
-  23,
+  24,
   cb__worker_report__field_descriptors,
   cb__worker_report__field_indices_by_name,
-  1,  cb__worker_report__number_ranges,
+  2,  cb__worker_report__number_ranges,
   (ProtobufCMessageInit) cb__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/schema/batch.pb-c.h
+++ b/schema/batch.pb-c.h
@@ -767,10 +767,15 @@
    * the worker has dropped ends that its agent has not read
    */
   protobuf_c_boolean ends_missed;
+  /*
+   * of `rejected`: starts that the worker refused as unhealthy
+   */
+  size_t n_unhealthy;
+  Cb__TaskRun **unhealthy;
 };
 #define CB__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cb__worker_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL }
 
 
 struct  Cb__PlatformSettings
--- a/test/platform_waits_test.cc
+++ b/test/platform_waits_test.cc
@@ -57,7 +57,8 @@
   // Lets the worker that gets a start first not take it, in the fault mode MODE, while
   // another one is free, and expects the task to run there.
   void
-  ExpectStartElsewhere (const std::string &mode)
+  ExpectStartElsewhere (const std::string &mode, const std::string &reason,
+                        int within_ms)
   {
     ASSERT_TRUE (AllListed ());
     SetMode (mode, -1);
@@ -65,9 +66,9 @@
     ASSERT_TRUE (Until ([&] { return DroppedStart () >= 0; }));
     int first = DroppedStart ();
     Control (runners[static_cast<size_t> (1 - first)], "{\"mode\":\"ok\"}");
-    EXPECT_TRUE (CompletedWithin (1, 10000));
+    EXPECT_TRUE (CompletedWithin (1, within_ms));
     EXPECT_EQ (Starts (1), 1);
-    EXPECT_TRUE (Logged ("agent" + std::to_string (first), "reason=not_accepted"));
+    EXPECT_TRUE (Logged ("agent" + std::to_string (first), "reason=" + reason));
     CheckRuns ();
   }
   // Returns whether job ID of priority 1 is completed within MS.
@@ -123,13 +124,26 @@
 // 503 each time and reports, while another one is free.
 TEST (PlatformWaits, StartThatABusyWorkerNeverAcceptsIsPlacedAnew)
 {
-  FaultySite (2).ExpectStartElsewhere ("busy");
+  FaultySite (2).ExpectStartElsewhere ("busy", "unhealthy", 2000);
+}
+
+// Guards against a task that waits for a stop, which the unhealthy worker may refuse as
+// well, although no call for its start can be under way: the agent has run for longer
+// than a lease lasts.
+TEST (PlatformWaits, StartThatABusyWorkerRefusesMovesAtOnce)
+{
+  FaultySite site (2);
+
+  site.Pause (5000);
+  site.ExpectStartElsewhere ("busy", "unhealthy", 2000);
+  EXPECT_EQ (site.Events ("runner0", "stop_absent"), 0);
+  EXPECT_EQ (site.Events ("runner1", "stop_absent"), 0);
 }
 
 // Guards against the same for a worker that never answers the start.
 TEST (PlatformWaits, StartThatAWorkerNeverAnswersIsPlacedAnew)
 {
-  FaultySite (2).ExpectStartElsewhere ("unanswered");
+  FaultySite (2).ExpectStartElsewhere ("unanswered", "not_accepted", 10000);
 }
 
 // Guards against a stop of a run whose start got no reply and was carried out, as its
