Set workers aside that refuse starts as unhealthy

A refusal as unhealthy now counts for the worker, whatever task it concerns. It gets nothing for 0.5 s, doubled with each further refusal up to 2 s, then one start at a time until one is accepted, and members of gangs only 3 s after its latest refusal. The limit on untrusted workers does not apply, as the cause is not the work. The task moves without the pause for rejected starts. Rejections count whatever the age of the report's lists, as they hold for good.

Tests: BatchTrust.WorkLeavesUnhealthyWorkersAtOnce (7 of 11 workers refuse, in 20 arrangements: a task and a gang of two begin within 1 s of virtual time) and BatchTrust.UnhealthyWorkerIsTriedWithOneStartAtATime; both failed without the count. In virtual time only: the target has not been measured with real processes. batch_*_test pass.

--- a/batch/fold.c
+++ b/batch/fold.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 /* A task whose start was rejected is placed again after this time, so that a worker
-   that rejects everything does not flood the log. */
+   that rejects everything does not flood the log. One that refuses starts as unhealthy
+   is not used for a while, see trust.c. */
 #define REJECTED_RETRY_MS 250
 
 static void
@@ -334,9 +335,11 @@
            cb_msec_t wall_ms)
 {
   task_t *task = find_task (b, end->run);
+  gboolean unhealthy;
 
   if (task == NULL || task->state != TASK_STARTED || task->run != end->run->run)
     return;
+  unhealthy = task->worker->refusals > 0;
   log_stored_end (b, task, end, offset);
   learn_run_end (b, task, end->how, now_ms);
   task->job->begun = task->job->begun || shows_begin (end->how);
@@ -359,7 +362,7 @@
   else if (end->how == CB__RUN_END__RUN_FAILED)
     count_failure (task, wall_ms);
   else if (end->how == CB__RUN_END__RUN_REJECTED)
-    task->not_before_ms = now_ms + REJECTED_RETRY_MS;
+    task->not_before_ms = now_ms + (unhealthy ? 0 : REJECTED_RETRY_MS);
   if (task->job->open_runs == 0)
     task->job->idle_since_ms = now_ms;
   b->dirty = TRUE;
--- a/batch/learn.c
+++ b/batch/learn.c
@@ -42,6 +42,7 @@
   if (how != CB__RUN_END__RUN_DONE)
     return;
   trust_restore (task->worker);
+  trust_start_accepted (task->worker, task);
   /* A resumed run does not show the run time of the whole task. */
   if (took_ms <= 0 || task->checkpoint != NULL)
     return;
--- a/batch/local.h
+++ b/batch/local.h
@@ -193,6 +193,10 @@
   uint32_t consecutive_failures; /* failed runs; those that overlap count once */
   cb_msec_t failed_ms;           /* when the latest failed run ended */
   cb_msec_t quarantine_until_ms; /* not used before, as it failed or stalled runs */
+  uint32_t refusals;             /* starts that it refused as unhealthy, since the last
+                                    accepted one; those that overlap count once */
+  cb_msec_t refused_ms;          /* when it refused the latest */
+  cb_msec_t refused_until_ms;    /* not used before, as it refused starts */
   cb_msec_t stalls_checked_ms;   /* when the progress of its runs was last checked */
 };
 
@@ -446,6 +450,8 @@
 /* trust.c */
 void trust_run_failed (worker_t *w, task_t *task, cb_msec_t now_ms);
 void trust_start_rejected (const worker_t *w, task_t *task, cb_msec_t now_ms);
+void trust_start_unhealthy (worker_t *w, const task_t *task, cb_msec_t now_ms);
+void trust_start_accepted (worker_t *w, const task_t *task);
 void trust_restore (worker_t *w);
 void trust_run_progress (worker_t *w, const task_t *task, cb_msec_t now_ms);
 void trust_update (GPtrArray *capacities, cb_msec_t now_ms);
--- a/batch/report.c
+++ b/batch/report.c
@@ -236,6 +236,8 @@
           continue;
         }
       propose_begun (b, task->job, now_ms);
+      if (!task->reported)
+        trust_start_accepted (w, task);
       w->shown_starts += !task->reported;
       task->reported = TRUE;
       note_listed (w, task);
@@ -312,7 +314,7 @@
 
 /* Stops the runs that W has reported and that full reports do not list any more: they
    run nowhere, and their ends can't be read. The worker rejects a stopped run for good,
-   and handle_rejected_and_absent ends it. */
+   and handle_absent ends it. */
 static void
 stop_unlisted_runs (cb_batch_t *b, const worker_t *w, const Cb__WorkerReport *report,
                     cb_msec_t now_ms)
@@ -357,11 +359,20 @@
                  "absent");
 }
 
-/* Ends runs that the worker has rejected, and stopped runs that it does not have. A run
-   of an earlier incarnation that is absent here is lost. */
+/* Ends runs that the worker has rejected. It never executes them, whatever its lists
+   show and how old they are. */
 static void
-handle_rejected_and_absent (cb_batch_t *b, worker_t *w, const Cb__WorkerReport *report)
+handle_rejected (cb_batch_t *b, worker_t *w, const Cb__WorkerReport *report,
+                 cb_msec_t now_ms)
 {
+  for (size_t i = 0; i < report->n_unhealthy; i++)
+    {
+      const task_t *task = find_task (b, report->unhealthy[i]);
+
+      if (is_current_run (task, w, report->unhealthy[i]) && !task->reported &&
+          !task->proposed_end)
+        trust_start_unhealthy (w, task, now_ms);
+    }
   for (size_t i = 0; i < report->n_rejected; i++)
     {
       task_t *task = find_task (b, report->rejected[i]);
@@ -369,6 +380,13 @@
       if (is_current_run (task, w, report->rejected[i]) && !task->reported)
         propose_end (b, task, CB__RUN_END__RUN_REJECTED, NULL, "refused");
     }
+}
+
+/* Ends stopped runs that the worker does not have. A run of an earlier incarnation that
+   is absent here is lost. */
+static void
+handle_absent (cb_batch_t *b, worker_t *w, const Cb__WorkerReport *report)
+{
   for (size_t i = 0; i < report->n_absent; i++)
     {
       task_t *task = find_task (b, report->absent[i]);
@@ -475,9 +493,10 @@
       handle_ended (b, w, report, now_ms);
       note_missed_ends (w, report);
       stop_unlisted_runs (b, w, report, now_ms);
-      handle_rejected_and_absent (b, w, report);
+      handle_absent (b, w, report);
       pace_update (b, w, now_ms);
     }
+  handle_rejected (b, w, report, now_ms);
   if (report->left)
     mark_terminated (b, w, "left");
 }
--- a/batch/trust.c
+++ b/batch/trust.c
@@ -12,6 +12,11 @@
 #define QUARANTINE_MAX_MS 16000
 /* A run that has made progress for this long restores the trust in its worker. */
 #define PROBE_PASSED_MS 800
+/* A worker that refuses a start as unhealthy is not used for REFUSED_PAUSE_MS. The time
+   doubles with each further refusal, up to REFUSED_PAUSE_MAX_MS: unlike a failed run, a
+   refused start costs no work. */
+#define REFUSED_PAUSE_MS 500
+#define REFUSED_PAUSE_MAX_MS 2000
 /* At most one in UNTRUSTED_DIVISOR workers of a service, rounded to the nearest, is
    untrusted. Where more fail, the cause is the work. */
 #define UNTRUSTED_DIVISOR 3
@@ -105,6 +110,27 @@
   avoid_worker (task, w, now_ms);
 }
 
+/* Updates the trust in W, which has refused the start of TASK as unhealthy. */
+void
+trust_start_unhealthy (worker_t *w, const task_t *task, cb_msec_t now_ms)
+{
+  if (w->refusals == 0 || task->started_ms >= w->refused_ms)
+    w->refusals++;
+  w->refused_ms = now_ms;
+  w->refused_until_ms =
+      now_ms + MIN ((cb_msec_t)REFUSED_PAUSE_MS << MIN (w->refusals - 1, 8),
+                    REFUSED_PAUSE_MAX_MS);
+}
+
+/* Restores the trust in W, which has accepted the start of TASK, if it had refused
+   earlier ones as unhealthy. */
+void
+trust_start_accepted (worker_t *w, const task_t *task)
+{
+  if (task->started_ms > w->refused_ms)
+    w->refusals = 0;
+}
+
 /* Restores the trust in W after a run that ended well or made progress. */
 void
 trust_restore (worker_t *w)
@@ -152,6 +178,23 @@
   return distrusted < (workers + 1) / UNTRUSTED_DIVISOR;
 }
 
+/* Limits the use of a worker that has refused starts as unhealthy, however many of its
+   service do so: the cause is not the work. */
+static void
+limit_refusing (capacity_t *capacity, cb_msec_t now_ms)
+{
+  const worker_t *w = capacity->worker;
+
+  if (w->refusals == 0)
+    return;
+  if (capacity->trust == TRUST_FULL)
+    capacity->gang_probe = TRUE;
+  capacity->gang_probe =
+      capacity->gang_probe && now_ms >= w->refused_ms + GANG_PROBE_DELAY_MS;
+  capacity->trust =
+      MAX (capacity->trust, now_ms < w->refused_until_ms ? TRUST_NONE : TRUST_PROBE);
+}
+
 /* Sets the trust in each worker, which limits its new work. Without the limit a worker
    that fails all runs at once would be free most of the time and, on a full fleet, get
    all waiting work. */
@@ -180,10 +223,12 @@
           now_ms >= capacity->worker->quarantine_until_ms + GANG_PROBE_DELAY_MS;
     }
   g_ptr_array_free (suspects, TRUE);
+  for (guint i = 0; i < capacities->len; i++)
+    limit_refusing (capacities->pdata[i], now_ms);
 }
 
-/* TRUE when W has a task that was started after its latest failure, or that is to start
-   and is not in the log yet. */
+/* TRUE when W has a task that was started after its latest failure or refusal, or that
+   is to start and is not in the log yet. */
 static gboolean
 is_probed (const worker_t *w)
 {
@@ -191,7 +236,8 @@
     {
       const task_t *task = w->tasks->pdata[i];
 
-      if (task->state != TASK_STARTED || task->started_ms > w->failed_ms)
+      if (task->state != TASK_STARTED ||
+          task->started_ms > MAX (w->failed_ms, w->refused_ms))
         return TRUE;
     }
   return FALSE;
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -97,6 +97,7 @@
   int partial_reports = 0; // with a part of the running tasks
   int refused_records = 0; // larger than a record of the log can be
   int failed_runs = 0;
+  int unhealthy_starts = 0;      // that unhealthy workers have refused
   std::set<std::string> stopped; // tasks with a run that was stopped
   std::vector<std::vector<uint8_t> > log;
   std::vector<cb_batch_t *> others;            // further replicas
@@ -737,6 +738,7 @@
             });
         w.ended.erase (w.ended.begin (), seen);
         w.rejected.clear ();
+        w.unhealthy_runs.clear ();
         w.absent.clear ();
         for (size_t i = 0; i < commands->n_stops && !w.calls_lost; i++)
           Stop (w, commands->stops[i]);
@@ -796,6 +798,13 @@
         w.rejected.insert (task + "/" + std::to_string (start->run->run));
         return;
       }
+    if (w.unhealthy)
+      {
+        unhealthy_starts++;
+        w.rejected.insert (task + "/" + std::to_string (start->run->run));
+        w.unhealthy_runs.insert (task + "/" + std::to_string (start->run->run));
+        return;
+      }
     if (w.rejects_starts || w.draining ||
         (w.highest_run.count (task) && start->run->run <= w.highest_run[task]))
       {
--- a/test/batch_trust_test.cc
+++ b/test/batch_trust_test.cc
@@ -1,5 +1,7 @@
 // Tests the limits on workers that fail or stall what they run: a worker that fails its
 // runs is free again at once, and on a full fleet would get all waiting work.
+#include <random>
+
 #include "test/batch_harness.h"
 
 namespace
@@ -130,4 +132,58 @@
   EXPECT_LT (sim.AdvanceUntilRunning ("j", 60000), 10000);
 }
 
+// Makes each of seven workers of eleven refuse all starts, others for each SEED.
+void
+MakeSevenUnhealthy (BatchSimulation &sim, unsigned seed)
+{
+  std::vector<size_t> order (sim.workers.size ());
+
+  for (size_t i = 0; i < order.size (); i++)
+    order[i] = i;
+  std::shuffle (order.begin (), order.end (), std::mt19937 (seed));
+  for (size_t i = 0; i < 7; i++)
+    sim.workers[order[i]]->unhealthy = true;
+}
+
+// Guards against work that is started on one unhealthy worker after the other, or on
+// the same again, while others are empty.
+TEST (BatchTrust, WorkLeavesUnhealthyWorkersAtOnce)
+{
+  for (bool gang : { false, true })
+    for (unsigned seed = 1; seed <= 20; seed++)
+      {
+        BatchSimulation sim (11, 3);
+        StepSpec step = { 1, 8 };
+
+        step.count = gang ? 2 : 1;
+        step.gang = gang;
+        MakeSevenUnhealthy (sim, seed);
+        sim.run_time_ms["j"] = 5000;
+        sim.Submit ("j", 1, { step });
+        cb_msec_t since = sim.now;
+        while (sim.Running ("j") < static_cast<int> (step.count) &&
+               sim.now < since + 20000)
+          sim.Advance (10);
+        EXPECT_LE (sim.now - since, 1000) << gang << " " << seed;
+      }
+}
+
+// Guards against a worker that gets many starts while it refuses them all, and none for
+// long once it does not.
+TEST (BatchTrust, UnhealthyWorkerIsTriedWithOneStartAtATime)
+{
+  BatchSimulation sim (2, 3);
+  StepSpec step = { 16, 1 };
+
+  step.label = "b";
+  sim.workers[1]->kind = "b";
+  sim.workers[1]->unhealthy = true;
+  sim.SubmitAndRun ("j", 1, { step }, 60000, 6500);
+  // The first starts come together.
+  EXPECT_LE (sim.unhealthy_starts, 8 + 6);
+  sim.workers[1]->unhealthy = false;
+  sim.Advance (3000);
+  EXPECT_EQ (sim.Running ("j"), 8);
+}
+
 } // namespace
--- a/test/batch_worker.h
+++ b/test/batch_worker.h
@@ -78,6 +78,7 @@
   bool ends_missed = false;  // it has dropped ends that its agent has not read
   bool draining = false;
   bool rejects_starts = false;      // every start
+  bool unhealthy = false;           // refuses every start, and does nothing
   cb_msec_t starts_late_ms = 0;     // starts are executed so much later
   bool stalled = false;             // its tasks make no progress
   bool reports_no_progress = false; // they make progress, but it reports none
@@ -97,7 +98,8 @@
   // Runs in its reports since the last one with all of them, which was sent at full_ms.
   std::shared_ptr<GHashTable> shown{ cb_batch_shown_runs_new (), g_hash_table_unref };
   cb_msec_t full_ms = 0;
-  std::set<std::string> rejected; // of TASK/RUN, as is `absent`
+  std::set<std::string> rejected;       // of TASK/RUN, as is `absent`
+  std::set<std::string> unhealthy_runs; // of `rejected`
   std::set<std::string> absent;
 
   // Returns the latency of the serving tasks in ms.
@@ -119,6 +121,7 @@
     ended.clear ();
     highest_run.clear ();
     rejected.clear ();
+    unhealthy_runs.clear ();
     absent.clear ();
     ends = 0;
     ends_missed = false;
@@ -190,6 +193,8 @@
       return report;
     for (const std::string &key : rejected)
       AddRun (&report->rejected, &report->n_rejected, key);
+    for (const std::string &key : unhealthy_runs)
+      AddRun (&report->unhealthy, &report->n_unhealthy, key);
     for (const std::string &key : absent)
       AddRun (&report->absent, &report->n_absent, key);
     return report;
