--- a/batch/fold.c
+++ b/batch/fold.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 /* A task whose start was rejected is placed again after this time, so that a worker
-   that rejects everything does not flood the log. */
+   that rejects everything does not flood the log. One that refuses starts as unhealthy
+   is not used for a while, see trust.c. */
 #define REJECTED_RETRY_MS 250
 
 static void
@@ -133,6 +134,7 @@
   note_grants_of_predecessor (b, now_ms);
   b->epoch = offset + 1;
   b->lease_number = 0;
+  b->scheduler_clock_ms = 0;
   b->resigned = FALSE;
   b->scheduler_seen_ms = now_ms;
   g_free (b->scheduler);
@@ -306,16 +308,41 @@
             offset, b->epoch);
 }
 
+/* Notes that a task of each of these jobs has begun. */
+static void
+apply_begun (const cb_batch_t *b, const Cb__BatchBegun *begun)
+{
+  for (size_t i = 0; i < begun->n_jobs; i++)
+    {
+      job_t *job = find_job (b, begun->jobs[i]);
+
+      if (job != NULL)
+        job->begun = TRUE;
+    }
+}
+
+/* TRUE when a run that ended by HOW has begun. One that was stopped or lost may have
+   ended before it began. */
+gboolean
+shows_begin (Cb__RunEnd how)
+{
+  return how != CB__RUN_END__RUN_REJECTED && how != CB__RUN_END__RUN_STOPPED &&
+         how != CB__RUN_END__RUN_LOST;
+}
+
 static void
 apply_end (cb_batch_t *b, uint64_t offset, const Cb__TaskEnd *end, cb_msec_t now_ms,
            cb_msec_t wall_ms)
 {
   task_t *task = find_task (b, end->run);
+  gboolean unhealthy;
 
   if (task == NULL || task->state != TASK_STARTED || task->run != end->run->run)
     return;
+  unhealthy = task->worker->refusals > 0;
   log_stored_end (b, task, end, offset);
   learn_run_end (b, task, end->how, now_ms);
+  task->job->begun = task->job->begun || shows_begin (end->how);
   if (end->saved[0] != '\0')
     {
       g_free (task->checkpoint);
@@ -335,7 +362,7 @@
   else if (end->how == CB__RUN_END__RUN_FAILED)
     count_failure (task, wall_ms);
   else if (end->how == CB__RUN_END__RUN_REJECTED)
-    task->not_before_ms = now_ms + REJECTED_RETRY_MS;
+    task->not_before_ms = now_ms + (unhealthy ? 0 : REJECTED_RETRY_MS);
   if (task->job->open_runs == 0)
     task->job->idle_since_ms = now_ms;
   b->dirty = TRUE;
@@ -398,7 +425,10 @@
       return;
     }
   if (record->epoch != 0)
-    b->scheduler_seen_ms = now_ms;
+    {
+      b->scheduler_seen_ms = now_ms;
+      note_scheduler_clock (b, record->clock_ms);
+    }
   switch (record->body_case)
     {
     case CB__BATCH_RECORD__BODY_SUBMIT:
@@ -423,6 +453,9 @@
     case CB__BATCH_RECORD__BODY_MOVED:
       apply_moved (b, record->moved);
       return;
+    case CB__BATCH_RECORD__BODY_BEGUN:
+      apply_begun (b, record->begun);
+      return;
     case CB__BATCH_RECORD__BODY_LEASES:
       apply_leases (b, offset, record->leases, now_ms);
       return;
--- a/batch/local.h
+++ b/batch/local.h
@@ -100,7 +100,8 @@
   occurrence_t *occurrences;
   gboolean canceled;
   gboolean failed;
-  gboolean started;        /* a task has started */
+  gboolean started;        /* the log has the start of a task */
+  gboolean begun;          /* by the log, a task has begun to run on a worker */
   cb_msec_t applied_ms;    /* when the submit record was applied, local clock */
   cb_msec_t ended_wall_ms; /* wall clock; 0: has not ended */
   uint32_t open_runs;      /* tasks in TASK_STARTED */
@@ -109,6 +110,8 @@
   cb_msec_t idle_since_ms; /* end of its latest run, or applied_ms */
   /* Scheduler: since when no task runs although one may; 0: not searched yet. */
   cb_msec_t stuck_since_ms;
+  /* Scheduler: when a record that a task has begun was proposed; 0: not yet. */
+  cb_msec_t begun_proposed_ms;
 };
 
 /* What the tasks of a worker use, kept while they come and go: passes need not look at
@@ -154,6 +157,7 @@
      all leases are over at leases_over_ms. */
   gboolean leases_stopped;
   cb_msec_t leases_over_ms;
+  cb_msec_t leases_over_witnessed_ms; /* the same as a value of witnessed_ms */
   /* Scheduler. */
   gboolean
       lease_proposed; /* a change of `leases_stopped` was proposed and is not applied */
@@ -190,6 +194,10 @@
   uint32_t consecutive_failures; /* failed runs; those that overlap count once */
   cb_msec_t failed_ms;           /* when the latest failed run ended */
   cb_msec_t quarantine_until_ms; /* not used before, as it failed or stalled runs */
+  uint32_t refusals;             /* starts that it refused as unhealthy, since the last
+                                    accepted one; those that overlap count once */
+  cb_msec_t refused_ms;          /* when it refused the latest */
+  cb_msec_t refused_until_ms;    /* not used before, as it refused starts */
   cb_msec_t stalls_checked_ms;   /* when the progress of its runs was last checked */
 };
 
@@ -303,6 +311,11 @@
   cb_msec_t scheduler_grants_end_ms;
   cb_msec_t earlier_grants_end_ms;
   uint64_t lease_number; /* of the latest record with leases of this epoch; 0: none */
+  /* Clock of the scheduler's process in its latest record of this epoch; 0: unknown. */
+  uint64_t scheduler_clock_ms;
+  /* Time that has passed by the clocks of the schedulers, each between its own records:
+     less than has really passed. */
+  cb_msec_t witnessed_ms;
   /* Scheduler. */
   uint64_t own_epoch;           /* 0: this process is not the scheduler */
   cb_msec_t scheduler_since_ms; /* when own_epoch was set */
@@ -314,10 +327,14 @@
   uint64_t proposed_lease_number; /* of the latest record with leases */
   GQueue records;                 /* of Cb__BatchRecord, to be appended to the log */
   size_t open_record_bytes;       /* encoded size of the last of them, an upper bound */
-  double urgent_peak;  /* accelerators in use or wanted by urgent work, decayed */
-  cb_msec_t urgent_ms; /* when it was updated */
-  uint64_t plan_count; /* preemption plans computed so far, also discarded ones */
-  gboolean dirty;      /* something that placement depends on has changed */
+  /* Follows the queued records: the jobs that have begun since the last one. NULL:
+     none. */
+  Cb__BatchRecord *begun_record;
+  size_t begun_record_bytes; /* its encoded size, an upper bound */
+  double urgent_peak;        /* accelerators in use or wanted by urgent work, decayed */
+  cb_msec_t urgent_ms;       /* when it was updated */
+  uint64_t plan_count;       /* preemption plans computed so far, also discarded ones */
+  gboolean dirty;            /* something that placement depends on has changed */
   cb_batch_advice_request_t *advice_request; /* to be sent next; NULL: none */
   cb_msec_t placed_ms;                       /* time of the latest placement pass */
   cb_batch_wait_t wait;                      /* result of the latest find_waits */
@@ -355,6 +372,7 @@
 
 /* fold.c */
 void note_canceled (cb_batch_t *b, const char *id, cb_msec_t wall_ms);
+gboolean shows_begin (Cb__RunEnd how);
 
 /* workers.c */
 GHashTable *workers_table_new (void);
@@ -380,6 +398,7 @@
 void propose_end (cb_batch_t *b, task_t *task, Cb__RunEnd how, const char *checkpoint,
                   const char *why);
 void propose_moved (cb_batch_t *b, const worker_t *w);
+void propose_begun (cb_batch_t *b, job_t *job, cb_msec_t now_ms);
 void start_tasks (cb_batch_t *b, task_t **tasks, worker_t **workers, uint32_t count,
                   cb_msec_t now_ms);
 void stop_task (cb_batch_t *b, task_t *task, cb_msec_t now_ms, const char *why);
@@ -394,6 +413,7 @@
 
 /* leases.c */
 cb_msec_t latest_lease_end (const cb_batch_t *b, cb_msec_t granted_ms);
+void note_scheduler_clock (cb_batch_t *b, uint64_t clock_ms);
 void apply_leases (cb_batch_t *b, uint64_t offset, const Cb__BatchLeases *leases,
                    cb_msec_t now_ms);
 void note_grants_end (cb_batch_t *b, gboolean process_ended, cb_msec_t now_ms);
@@ -445,6 +465,8 @@
 /* trust.c */
 void trust_run_failed (worker_t *w, task_t *task, cb_msec_t now_ms);
 void trust_start_rejected (const worker_t *w, task_t *task, cb_msec_t now_ms);
+void trust_start_unhealthy (worker_t *w, const task_t *task, cb_msec_t now_ms);
+void trust_start_accepted (worker_t *w, const task_t *task);
 void trust_restore (worker_t *w);
 void trust_run_progress (worker_t *w, const task_t *task, cb_msec_t now_ms);
 void trust_update (GPtrArray *capacities, cb_msec_t now_ms);
