Note lost runs for each agent of a worker

A lease for a worker that another agent reports under the same id, as another writer's heartbeat can lead to, took the note away that runs of the first one had been lost. When the first one reported again, it got a lease under the same epoch as before, and a late start of a lost run took effect: the task ran twice.

The note is of the worker at its agent now, as the epoch is that of the agent's commands.

BatchLease.LeaseAtAnotherAgentDoesNotLetALateStartTakeEffect failed before with "j.0.0.0 runs twice". Two more tests guard the rest of the rule: a worker is used again within 0.5 s each time that its runs were lost, under a higher epoch each time, and one that reports again before its runs are lost keeps its epoch.

--- a/batch/epochs.c
+++ b/batch/epochs.c
@@ -16,19 +16,35 @@
   g_hash_table_remove_all (b->lost_run_workers);
 }
 
+/* Returns the key of W and its other incarnations at the same agent. The caller frees
+   it. */
+static char *
+agent_worker_key (const worker_t *w)
+{
+  return g_strdup_printf ("%s/%s", w->agent, w->id);
+}
+
 /* Notes that a run on W is taken as lost. */
 void
 note_lost_run (cb_batch_t *b, const worker_t *w)
 {
-  g_hash_table_add (b->lost_run_workers, g_strdup (w->id));
+  g_hash_table_add (b->lost_run_workers, agent_worker_key (w));
 }
 
 /* TRUE when W gets no lease before the epoch of its commands has been raised, as runs
-   on it, or on another incarnation of it, have been taken as lost. */
+   on it, or on another incarnation of it at the same agent, have been taken as lost. */
 gboolean
 needs_command_epoch (const cb_batch_t *b, const worker_t *w)
 {
-  return g_hash_table_contains (b->lost_run_workers, w->id);
+  char *key;
+  gboolean lost;
+
+  if (g_hash_table_size (b->lost_run_workers) == 0)
+    return FALSE;
+  key = agent_worker_key (w);
+  lost = g_hash_table_contains (b->lost_run_workers, key);
+  g_free (key);
+  return lost;
 }
 
 /* Raises the epoch of W's commands, if that is needed, now that the record at OFFSET
@@ -37,9 +53,13 @@
 raise_command_epoch (cb_batch_t *b, const worker_t *w, uint64_t offset)
 {
   uint64_t *epoch;
+  char *key;
 
-  if (!g_hash_table_remove (b->lost_run_workers, w->id))
+  if (!needs_command_epoch (b, w))
     return;
+  key = agent_worker_key (w);
+  g_hash_table_remove (b->lost_run_workers, key);
+  g_free (key);
   epoch = g_new (uint64_t, 1);
   *epoch = offset + 1;
   g_hash_table_replace (b->command_epochs, g_strdup (w->agent), epoch);
--- a/batch/local.h
+++ b/batch/local.h
@@ -288,8 +288,8 @@
   /* Scheduler, see epochs.c. */
   GHashTable *command_epochs;   /* agent -> uint64_t: epoch of its commands, if that is
                                    not own_epoch */
-  GHashTable *lost_run_workers; /* set of worker ids: a run was taken as lost since the
-                                   epoch of their commands was raised */
+  GHashTable *lost_run_workers; /* set of agent/id: a run of the worker was taken as
+                                   lost since the epoch of its commands was raised */
   uint32_t entry_count;         /* agents that are entries */
   GHashTable *run_times;        /* queue -> run_time_t */
   GHashTable *fleet; /* service -> Cb__FleetSums of the scheduler's latest heartbeat */
--- a/test/batch_lease_test.cc
+++ b/test/batch_lease_test.cc
@@ -439,4 +439,63 @@
   EXPECT_EQ (w->running.size (), 0u);
 }
 
+// Guards against the same where the scheduler has granted a lease to a worker of the
+// same id at another agent meanwhile.
+TEST (BatchLease, LeaseAtAnotherAgentDoesNotLetALateStartTakeEffect)
+{
+  BatchSimulation sim (3, 3);
+
+  Worker *w = StartLateAndCutOff (sim, 9000);
+  ASSERT_NE (w, nullptr);
+  sim.Advance (7500);
+  ASSERT_EQ (sim.Running ("j"), 1);
+  Worker other;
+  other.id = w->id;
+  other.incarnation_ms = 2;
+  other.agent = "x";
+  other.accelerators = 0;
+  sim.HandleReport (other.agent, other);
+  cb_msg_free (cb_batch_build_commands (sim.primary, "x", TRUE, sim.now));
+  sim.AppendRecords ();
+  w->reachable = true;
+  sim.Advance (5000);
+  EXPECT_EQ (w->running.size (), 0u);
+}
+
+// Guards against a worker that is of no use for long after its runs were lost, and
+// against late starts after the second time that happens.
+TEST (BatchLease, WorkerIsUsedAgainSoonEachTimeItsRunsWereLost)
+{
+  BatchSimulation sim (1, 3);
+  Worker &w = *sim.workers[0];
+
+  sim.run_time_ms["j"] = 60000;
+  sim.Submit ("j", 1, { { 1, 8 } });
+  sim.Advance (200);
+  for (int i = 0; i < 3; i++)
+    {
+      ASSERT_EQ (w.running.count ("j.0.0.0"), 1u);
+      uint64_t fence = w.fence;
+      w.reachable = false;
+      sim.Advance (7500);
+      w.reachable = true;
+      EXPECT_LE (sim.AdvanceUntilRunning ("j", 5000), 500);
+      EXPECT_GT (w.fence, fence);
+    }
+}
+
+// Guards against an epoch that is raised for a worker that reports again in time: its
+// agent would drop its commands.
+TEST (BatchLease, EpochOfCommandsIsKeptWhileNoRunIsLost)
+{
+  BatchSimulation sim (3, 3);
+
+  Worker *w = StartAndCutOff (sim, 20000, 4000);
+  ASSERT_NE (w, nullptr);
+  w->reachable = true;
+  sim.Advance (2000);
+  EXPECT_EQ (w->running.size (), 1u);
+  EXPECT_EQ (w->fence, sim.epoch);
+}
+
 } // namespace
