--- a/fakes/lib/fake.c
+++ b/fakes/lib/fake.c
@@ -115,7 +115,7 @@
   json_decref (body);
 }
 
-/* Handles `POST /control {"mode":M,"count":N}`: turns on fault mode M until it has been
+/* Handles `POST /control {"mode":M,"count":N,"delay_ms":D}`: turns on fault mode M until it has been
    used N times, or without N until the next such call. Returns FALSE, without a reply,
    when REQ is for another path. */
 gboolean
@@ -123,13 +123,15 @@
 {
   const char *mode = NULL;
   json_int_t count = -1;
+  json_int_t delay_ms = 0;
   json_t *body;
 
   if (strcmp (cb_http_path (req), "/control") != 0)
     return FALSE;
   body = json_loads (cb_http_body (req, NULL), 0, NULL);
   if (body == NULL ||
-      json_unpack (body, "{s:s,s?I}", "mode", &mode, "count", &count) != 0)
+      json_unpack (body, "{s:s,s?I,s?I}", "mode", &mode, "count", &count, "delay_ms",
+                   &delay_ms) != 0)
     {
       json_decref (body);
       cb_fake_reply (req, 400,
@@ -138,6 +140,7 @@
     }
   g_strlcpy (fake->mode, mode, sizeof fake->mode);
   fake->remaining = count;
+  fake->delay_ms = delay_ms;
   json_decref (body);
   cb_fake_reply (req, 200, json_pack ("{s:s}", "mode", fake->mode));
   return TRUE;
--- a/fakes/lib/fake.h
+++ b/fakes/lib/fake.h
@@ -16,6 +16,7 @@
   cb_trace_t *trace;
   char mode[16];     /* fault mode; "ok": none */
   int64_t remaining; /* uses left of the fault mode; negative: unlimited */
+  int64_t delay_ms;  /* of the fault mode `late`; 0: its default */
 } cb_fake_t;
 
 typedef struct
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -8,7 +8,8 @@
    On SIGTERM it reports the state "draining", and exits after DRAIN_MS.
    Fault modes: `silent`: calls get no reply and have no effect. `odd_end`: lists show
    the oldest end with a value that cannot be read. `late`: starts get no reply and are
-   carried out LATE_MS later, unless they would be refused by then. `room`: starts of
+   carried out LATE_MS or the control call's `delay_ms` later, unless they would be
+   refused by then. `room`: starts of
    runs that are not here are refused for want of room. `accepted`: starts are answered
    as if they had been carried out, and have no effect. `unanswered`: starts get no
    reply and have no effect. `mute`: starts get no reply and are carried out.
@@ -78,7 +79,9 @@
 typedef struct
 {
   cb_fake_t fake;
-  const char *listen;
+  const char *announced; /* address in the heartbeats */
+  const char *zone;
+  const char *label;     /* its kind */
   const char *agent;
   const char *id;
   const char *service;
@@ -100,6 +103,9 @@
   cb_msec_t draining_ms; /* time of SIGTERM; 0: not draining */
 } runner_t;
 
+/* Speed of the worker's clock. */
+static int clock_percent = 100;
+
 /* Returns the worker's clock, in ms. It starts with the process, at 1. */
 static cb_msec_t
 now (void)
@@ -107,8 +113,8 @@
   static cb_msec_t start_ms;
 
   if (start_ms == 0)
-    start_ms = cb_clock_now (cb_clock_system ()) - 1;
-  return cb_clock_now (cb_clock_system ()) - start_ms;
+    start_ms = cb_clock_now (cb_clock_system ());
+  return 1 + (cb_clock_now (cb_clock_system ()) - start_ms) * clock_percent / 100;
 }
 
 static json_int_t
@@ -303,7 +309,7 @@
       late_start_t *late = g_new0 (late_start_t, 1);
 
       late->body = json_incref (body);
-      late->due_ms = now () + LATE_MS;
+      late->due_ms = now () + (r->fake.delay_ms > 0 ? r->fake.delay_ms : LATE_MS);
       g_queue_push_tail (&r->late_starts, late);
       cb_fake_event (&r->fake, "start_delayed", "\"task\":\"%s\"",
                      json_string_value (json_object_get (body, "task")));
@@ -452,10 +458,10 @@
   gboolean draining = r->draining_ms != 0 || cb_fake_mode_active (&r->fake, "draining");
   json_t *body =
       json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
-                 "service", r->service, "address", r->listen, "zone", "z", "version",
+                 "service", r->service, "address", r->announced, "zone", r->zone, "version",
                  "v1", "slots", 8, "state", draining ? "draining" : "ready", "capacity",
                  "cpu", CPU_MILLI, "memMb", MEMORY_MB, "gpu", r->accelerators, "labels",
-                 "a", r->rack, "clockMs", (json_int_t)now (), "seq",
+                 r->label, r->rack, "clockMs", (json_int_t)now (), "seq",
                  (json_int_t)++r->sequence, "born", (json_int_t)r->start_wall_ms);
   char *text = json_dumps (body, JSON_COMPACT);
   cb_http_spec_t spec = { .address = r->agent,
@@ -568,6 +574,18 @@
     case 'r':
       a->runner->rack = arg;
       return 0;
+    case 'A':
+      a->runner->announced = arg;
+      return 0;
+    case 'z':
+      a->runner->zone = arg;
+      return 0;
+    case 'L':
+      a->runner->label = arg;
+      return 0;
+    case 'c':
+      clock_percent = atoi (arg);
+      return 0;
     case 'k':
       a->runner->tickets = TRUE;
       return 0;
@@ -590,6 +608,10 @@
     { "agent", 'a', "ADDRESS", 0, "control address of the agent (host:port)", 0 },
     { "id", 'i', "NAME", 0, "name of the worker", 0 },
     { "rack", 'r', "NAME", 0, "rack of the worker (r1)", 0 },
+    { "announce", 'A', "ADDRESS", 0, "address in the heartbeats (that of --listen)", 0 },
+    { "zone", 'z', "NAME", 0, "availability zone (z)", 0 },
+    { "label", 'L', "NAME", 0, "kind of the worker (a)", 0 },
+    { "clock", 'c', "PERCENT", 0, "speed of the worker's clock (100)", 0 },
     { "tickets", 'k', NULL, 0, "refuse starts without a ticket of the advisor", 0 },
     { "first-heartbeat", 'f', "MS", 0, "delay of the first heartbeat (0)", 0 },
     { 0 },
@@ -599,7 +621,9 @@
                                     .parser = parse,
                                     .children = children,
                                     .doc = "Stand-in for a worker of the platform." };
-  runner_t r = { .service = "svc", .rack = "r1", .accelerators = 8 };
+  runner_t r = {
+    .service = "svc", .zone = "z", .label = "a", .rack = "r1", .accelerators = 8
+  };
   arguments_t arguments = { .runner = &r,
                             .params = { .role = "runner",
                                         .trace_file = "",
@@ -610,7 +634,8 @@
   if (argp_parse (&argp, argc, argv, 0, NULL, &arguments) != 0 ||
       cb_fake_open (&r.fake, &arguments.params) < 0)
     return 2;
-  r.listen = arguments.params.listen;
+  if (r.announced == NULL)
+    r.announced = arguments.params.listen;
   r.start_wall_ms = cb_clock_wall (cb_clock_system ());
   r.highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&r.runs);
--- /dev/null
+++ b/soak/plan.cc
@@ -0,0 +1,456 @@
+#include "soak/plan.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace soak
+{
+
+namespace
+{
+
+class Planner
+{
+public:
+  explicit Planner (const Options &options)
+      : options_ (options), random_ (options.seed)
+  {
+  }
+
+  std::vector<Fault>
+  Plan ()
+  {
+    std::vector<Fault> plan;
+
+    for (int64_t at_ms = Pick (1500, 3500); at_ms < options_.seconds * 1000;
+         at_ms += Pick (0, 2) == 0 ? Pick (5, 300) : Pick (400, 4000))
+      {
+        Fault f = OfProcess ();
+
+        switch (Pick (0, 11))
+          {
+          case 0:
+          case 1:
+          case 2:
+          case 3:
+            break;
+          case 4:
+          case 5:
+            f = OfWorker ();
+            break;
+          case 6:
+            f = OfWorkerMode ();
+            break;
+          case 7:
+            f = OfWriter ();
+            break;
+          case 8:
+            f = OfStore ();
+            break;
+          default:
+            f = OfPath ();
+          }
+        f.number = static_cast<int> (plan.size ());
+        f.at_ms = at_ms;
+        plan.push_back (f);
+      }
+    return plan;
+  }
+
+private:
+  const Options options_;
+  std::mt19937 random_;
+
+  int64_t
+  Pick (int64_t low, int64_t high)
+  {
+    return low +
+           static_cast<int64_t> (random_ () % static_cast<uint32_t> (high - low + 1));
+  }
+  std::string
+  Of (const std::vector<std::string> &names)
+  {
+    return names[static_cast<size_t> (
+        Pick (0, static_cast<int64_t> (names.size ()) - 1))];
+  }
+  std::string
+  Entry ()
+  {
+    return Pick (0, 2) == 0 ? "scheduler"
+                            : "entry" + std::to_string (Pick (0, options_.entries - 1));
+  }
+  std::string
+  Agent ()
+  {
+    return Pick (0, 3) == 0 ? "orderer"
+                            : "agent" + std::to_string (Pick (0, options_.workers - 1));
+  }
+  std::string
+  Worker ()
+  {
+    return "worker" + std::to_string (Pick (0, options_.workers - 1));
+  }
+  std::string
+  Zone ()
+  {
+    return "z" + std::to_string (Pick (0, 2));
+  }
+  Fault
+  OfProcess ()
+  {
+    Fault f;
+
+    f.kind = Of ({ "kill", "kill", "stop", "pause", "pause" });
+    f.a = Pick (0, 1) ? Entry () : Agent ();
+    if (Pick (0, 19) == 0)
+      f.a = Of ({ "entries", "agents", "all" });
+    f.ms = f.kind == "pause" ? Pick (200, 9000) : Pick (20, 4000);
+    // Another process fails within milliseconds of the take-over after this fault.
+    if (f.a == "scheduler" && Pick (0, 2) == 0)
+      f.x = static_cast<int> (Pick (1, 2));
+    f.y = static_cast<int> (Pick (0, 60));
+    return f;
+  }
+  Fault
+  OfWorker ()
+  {
+    Fault f;
+
+    f.kind = Of ({ "crash", "crash", "crash", "replace", "leave", "label" });
+    f.a = Worker ();
+    f.ms = Pick (20, 3000);
+    f.x = Pick (0, 1) ? static_cast<int> (Pick (0, 1500)) : 0; // no heartbeat so long
+    return f;
+  }
+  Fault
+  OfWorkerMode ()
+  {
+    Fault f;
+
+    f.kind = "worker-mode";
+    f.a = Worker ();
+    f.b = Of ({ "late", "late", "busy", "mute", "silent", "unanswered", "room",
+                "accepted", "draining" });
+    f.ms = Pick (300, 5000);
+    f.x = static_cast<int> (Pick (1, 6)); // uses
+    f.y = static_cast<int> (Pick (500, 9000));
+    return f;
+  }
+  // Another writer sends heartbeats to an agent.
+  Fault
+  OfWriter ()
+  {
+    Fault f;
+
+    f.kind = "writer";
+    f.a = Worker ();
+    f.b = Worker ();
+    f.x = static_cast<int> (Pick (0, 7));
+    f.y = static_cast<int> (Pick (0, 1));
+    return f;
+  }
+  Fault
+  OfStore ()
+  {
+    Fault f;
+
+    f.kind = "store";
+    f.a = Of ({ "busy", "silent", "deaf", "lose", "lose-keyed", "slow", "miss" });
+    f.ms = Pick (200, 5000);
+    f.x = Pick (0, 1) ? static_cast<int> (Pick (1, 6)) : -1;
+    return f;
+  }
+  Fault
+  OfPath ()
+  {
+    Fault f;
+
+    f.kind = Of ({ "hold", "hold", "lose", "lose", "delay", "reset", "refuse" });
+    switch (Pick (0, 7))
+      {
+      case 0:
+        f.a = Zone ();
+        f.b = Zone ();
+        break;
+      case 1:
+        f.a = Zone ();
+        f.b = "store";
+        break;
+      case 2:
+        f.a = Entry ();
+        f.b = "store";
+        break;
+      case 3:
+        f.a = Agent ();
+        f.b = "store";
+        break;
+      case 4:
+        f.a = Agent ();
+        f.b = Entry ();
+        break;
+      case 5:
+        f.a = Entry ();
+        f.b = Zone ();
+        break;
+      case 6:
+        f.a = "worker" + std::to_string (Pick (0, options_.workers - 1));
+        f.b = "agent" + f.a.substr (6);
+        break;
+      default:
+        f.a = Of ({ "client", Entry () });
+        f.b = Entry ();
+      }
+    if (Pick (0, 1))
+      std::swap (f.a, f.b);
+    f.ms = f.kind == "reset" ? 30 : f.kind == "delay" ? Pick (500, 9000) : Pick (300, 9000);
+    f.x = static_cast<int> (Pick (0, 2)); // 0: all connections, 1: open, 2: new
+    f.y = f.kind == "delay" ? static_cast<int> (Pick (50, 3000))
+                            : static_cast<int> (Pick (0, 1)); // 1: both directions
+    return f;
+  }
+};
+
+struct Play
+{
+  pid_t pid = 0;
+  Options options;
+  std::string log;
+};
+
+std::string
+Join (const std::set<int> &numbers)
+{
+  std::string text;
+
+  for (int n : numbers)
+    text += (text.empty () ? "" : ",") + std::to_string (n);
+  return text;
+}
+
+Play
+Begin (const std::string &program, const Options &o, const std::string &log)
+{
+  Play play;
+  std::vector<std::string> words = { program,
+                                     "--seed",
+                                     std::to_string (o.seed),
+                                     "--seconds",
+                                     std::to_string (o.seconds),
+                                     "--entries",
+                                     std::to_string (o.entries),
+                                     "--workers",
+                                     std::to_string (o.workers),
+                                     "--first",
+                                     std::to_string (o.first),
+                                     "--without",
+                                     Join (o.without) };
+  std::vector<char *> argv;
+
+  for (auto &w : words)
+    argv.push_back (&w[0]);
+  argv.push_back (nullptr);
+  play.options = o;
+  play.log = log;
+  play.pid = fork ();
+  if (play.pid == 0)
+    {
+      int fd = open (log.c_str (), O_CREAT | O_TRUNC | O_WRONLY, 0644);
+
+      dup2 (fd, 1);
+      dup2 (fd, 2);
+      execv (program.c_str (), argv.data ());
+      _exit (127);
+    }
+  return play;
+}
+
+// Returns how often each rule was broken by the play with this log, which ended with
+// STATUS.
+std::map<std::string, int>
+Broken (const std::string &log, int status)
+{
+  std::map<std::string, int> broken;
+  std::ifstream f (log);
+  std::string line;
+
+  while (std::getline (f, line))
+    if (line.compare (0, 7, "BROKEN ") == 0)
+      broken[line.substr (7, line.find (' ', 7) - 7)]++;
+  if (broken.empty () && status != 0)
+    broken["ERROR"] = 1;
+  return broken;
+}
+
+// Plays OPTIONS as often as there are elements, JOBS at a time, and returns what each
+// play broke.
+std::vector<std::map<std::string, int> >
+PlayAll (const std::string &program, const std::vector<Options> &options, int jobs,
+         const std::string &name)
+{
+  std::vector<std::map<std::string, int> > result (options.size ());
+  std::map<pid_t, std::pair<size_t, std::string> > running;
+  size_t next = 0;
+
+  while (next < options.size () || !running.empty ())
+    {
+      int status = 0;
+
+      if (next < options.size () && running.size () < static_cast<size_t> (jobs))
+        {
+          Play p = Begin (program, options[next], name + std::to_string (next) + ".log");
+
+          running[p.pid] = { next++, p.log };
+          continue;
+        }
+      pid_t pid = wait (&status);
+      if (pid < 0)
+        break;
+      result[running[pid].first] = Broken (running[pid].second, status);
+      running.erase (pid);
+    }
+  return result;
+}
+
+} // namespace
+
+std::vector<Fault>
+MakePlan (const Options &options)
+{
+  std::vector<Fault> all = Planner (options).Plan ();
+  std::vector<Fault> plan;
+
+  for (auto &f : all)
+    if ((options.first < 0 || f.number < options.first) &&
+        !options.without.count (f.number))
+      plan.push_back (f);
+  return plan;
+}
+
+std::string
+ToText (const Fault &f)
+{
+  char text[160];
+
+  snprintf (text, sizeof text, "fault %d at %.3f s: %s %s %s for %d ms, x %d, y %d",
+            f.number, static_cast<double> (f.at_ms) / 1000, f.kind.c_str (),
+            f.a.c_str (), f.b.empty () ? "-" : f.b.c_str (), static_cast<int> (f.ms),
+            f.x, f.y);
+  return text;
+}
+
+int
+PlaySeeds (const std::string &program, Options options, double hours, int count,
+           int jobs)
+{
+  char dir[] = "/tmp/carobrun-soak-XXXXXX";
+  std::map<std::string, std::vector<uint32_t> > seeds; // by rule
+  std::map<pid_t, Play> running;
+  auto begin = std::chrono::steady_clock::now ();
+  auto end = begin + std::chrono::seconds (static_cast<int> (hours * 3600));
+  int begun = 0;
+  int ended = 0;
+
+  if (mkdtemp (dir) == nullptr)
+    return 2;
+  for (;;)
+    {
+      bool more = std::chrono::steady_clock::now () < end && begun < count;
+      int status = 0;
+
+      if (more && running.size () < static_cast<size_t> (jobs))
+        {
+          Play p = Begin (program, options,
+                          dir + ("/" + std::to_string (options.seed)) + ".log");
+
+          running[p.pid] = p;
+          options.seed++;
+          begun++;
+          continue;
+        }
+      pid_t pid = running.empty () ? -1 : wait (&status);
+      if (pid < 0)
+        break;
+      Play p = running[pid];
+      auto broken = Broken (p.log, status);
+      running.erase (pid);
+      ended++;
+      printf ("seed %u:%s\n", p.options.seed, broken.empty () ? " kept" : "");
+      for (auto &b : broken)
+        {
+          printf ("  %s %d, log %s\n", b.first.c_str (), b.second, p.log.c_str ());
+          seeds[b.first].push_back (p.options.seed);
+        }
+      fflush (stdout);
+      if (broken.empty ())
+        unlink (p.log.c_str ());
+    }
+  printf ("%d plays\nrule       seeds\n", ended);
+  for (auto &s : seeds)
+    {
+      printf ("%-10s %zu of %d:", s.first.c_str (), s.second.size (), ended);
+      for (uint32_t seed : s.second)
+        printf (" %u", seed);
+      printf ("\n");
+    }
+  rmdir (dir);
+  return seeds.empty () ? 0 : 1;
+}
+
+int
+Shrink (const std::string &program, Options options, int plays, int jobs)
+{
+  char dir[] = "/tmp/carobrun-soak-XXXXXX";
+  std::string rule;
+  // Returns how many plays of O break RULE, the first broken one if it is empty.
+  auto failures = [&] (const Options &o) {
+    int failed = 0;
+
+    for (auto &b : PlayAll (program, std::vector<Options> (static_cast<size_t> (plays), o),
+                            jobs, std::string (dir) + "/"))
+      {
+        if (rule.empty () && !b.empty ())
+          rule = b.begin ()->first;
+        failed += b.count (rule) > 0;
+      }
+    printf ("%d of %d break %s: first %d, without %s\n", failed, plays, rule.c_str (),
+            o.first, Join (o.without).c_str ());
+    fflush (stdout);
+    return failed;
+  };
+
+  if (mkdtemp (dir) == nullptr || failures (options) == 0)
+    return 2;
+  std::vector<Fault> plan = MakePlan (options);
+  for (size_t part = plan.size () / 2; part > 0; part = part == 1 ? 0 : (part + 1) / 2)
+    for (size_t at = 0; at < plan.size ();)
+      {
+        Options smaller = options;
+        size_t to = std::min (plan.size (), at + part);
+
+        for (size_t i = at; i < to; i++)
+          smaller.without.insert (plan[i].number);
+        if (failures (smaller) == 0)
+          {
+            at = to;
+            continue;
+          }
+        options = smaller;
+        plan = MakePlan (options);
+      }
+  printf ("shortest plan found for seed %u, %s:\n", options.seed, rule.c_str ());
+  for (auto &f : plan)
+    printf ("%s\n", ToText (f).c_str ());
+  return 0;
+}
+
+} // namespace soak
--- a/test/processes.h
+++ b/test/processes.h
@@ -109,6 +109,27 @@
     pids_[name] = pid;
   }
 
+  // Returns the process id of NAME, 0 when it isn't running.
+  pid_t
+  Pid (const std::string &name) const
+  {
+    auto p = pids_.find (name);
+
+    return p == pids_.end () ? 0 : p->second;
+  }
+
+  // Returns whether NAME has ended without Kill or WaitExit. STATUS is as of waitpid.
+  bool
+  HasEnded (const std::string &name, int *status)
+  {
+    auto p = pids_.find (name);
+
+    if (p == pids_.end () || waitpid (p->second, status, WNOHANG) != p->second)
+      return false;
+    pids_.erase (p);
+    return true;
+  }
+
   void
   Signal (const std::string &name, int sig)
   {
