--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -5,7 +5,8 @@
    runs end as `lapsed` when the lease of the worker expires.
    The trace has `run_start` and `run_end` for each run of a task, and `end_seen` when
    the end of a run was acknowledged and the lease has not expired since that end.
-   On SIGTERM it reports the state "draining", and exits after DRAIN_MS.
+   On SIGTERM it reports the state "draining", and exits after DRAIN_MS or the time of
+   --drain. The trace has `drain_seen` when its agent has acknowledged that.
    Fault modes: `silent`: calls get no reply and have no effect. `odd_end`: lists show
    the oldest end with a value that cannot be read. `late`: starts get no reply and are
    carried out LATE_MS or the control call's `delay_ms` later, unless they would be
@@ -33,7 +34,7 @@
 /* Capacity that the worker reports. */
 #define CPU_MILLI 64000
 #define MEMORY_MB 131072
-/* Time between SIGTERM and the exit. */
+/* Default time between SIGTERM and the exit. */
 #define DRAIN_MS 2500
 /* Delay of a start in the fault mode `late`: more than a call may take, so that the
    caller repeats it before. */
@@ -103,6 +104,9 @@
   GHashTable *highest;   /* task -> highest run that ended or was stopped */
   uint64_t last_number;  /* number of the last end */
   cb_msec_t draining_ms; /* time of SIGTERM; 0: not draining */
+  cb_msec_t drain_ms;    /* from then to its exit */
+  gboolean says_leave;   /* it posts `leave` then */
+  gboolean left;
 } runner_t;
 
 /* Speed of the worker's clock. */
@@ -440,7 +444,15 @@
   else
     {
       r->fencing_token = (uint64_t)integer_member (body, "fencingToken");
-      r->lease_end_ms = MAX (r->lease_end_ms, integer_member (body, "deadlineMs"));
+      if (integer_member (body, "deadlineMs") > r->lease_end_ms)
+        {
+          r->lease_end_ms = integer_member (body, "deadlineMs");
+          cb_fake_event (&r->fake, "lease",
+                         "\"clock_ms\":%" G_GINT64_FORMAT
+                         ",\"deadline_ms\":%" G_GINT64_FORMAT
+                         ",\"token\":%" G_GUINT64_FORMAT,
+                         now (), r->lease_end_ms, r->fencing_token);
+        }
       if (strcmp (path, "/api/run-start") == 0)
         on_start (r, req, body);
       else if (strcmp (path, "/api/run-stop") == 0)
@@ -463,6 +475,19 @@
   (void)len;
 }
 
+/* Notes that the agent has acknowledged that the worker leaves. */
+static void
+on_drain_sent (void *ctx, int err, int status, const char *body, size_t len)
+{
+  const runner_t *r = ctx;
+
+  (void)body;
+  (void)len;
+  if (err >= 0 && status / 100 == 2)
+    cb_fake_event (&r->fake, "drain_seen", "\"after_ms\":%" G_GINT64_FORMAT,
+                   now () - r->draining_ms);
+}
+
 /* Posts the state of the worker to /api/instances/ID/RESOURCE of its agent. */
 static void
 send_state (runner_t *r, const char *resource)
@@ -485,7 +510,7 @@
                           .body_len = strlen (text),
                           .timeout_ms = HEARTBEAT_TIMEOUT_MS };
 
-  cb_http_call (r->fake.loop, &spec, on_sent, NULL);
+  cb_http_call (r->fake.loop, &spec, r->draining_ms != 0 ? on_drain_sent : on_sent, r);
   json_decref (body);
   free (text);
   g_free (path);
@@ -543,12 +568,16 @@
         }
       link = next;
     }
-  if (r->draining_ms != 0 && now () - r->draining_ms > DRAIN_MS)
+  if (r->draining_ms != 0 && now () - r->draining_ms > r->drain_ms && !r->left)
     {
       while (r->runs.head != NULL)
         end_run (r, r->runs.head->data, "stopped");
-      cb_loop_stop (r->fake.loop);
+      if (r->says_leave)
+        send_state (r, "leave");
+      r->left = TRUE;
     }
+  else if (r->left)
+    cb_loop_stop (r->fake.loop);
 }
 
 static void
@@ -599,6 +628,10 @@
     case 'c':
       clock_percent = atoi (arg);
       return 0;
+    case 'D':
+      a->runner->drain_ms = g_ascii_strtoll (arg, NULL, 10);
+      a->runner->says_leave = TRUE;
+      return 0;
     case 'p':
       a->runner->shows_progress = TRUE;
       return 0;
@@ -628,6 +661,8 @@
     { "zone", 'z', "NAME", 0, "availability zone (z)", 0 },
     { "label", 'L', "NAME", 0, "kind of the worker (a)", 0 },
     { "clock", 'c', "PERCENT", 0, "speed of the worker's clock (100)", 0 },
+    { "drain", 'D', "MS", 0, "time from SIGTERM to `leave` and the exit (no `leave`)",
+      0 },
     { "progress", 'p', NULL, 0, "show how much of each run is done", 0 },
     { "tickets", 'k', NULL, 0, "refuse starts without a ticket of the advisor", 0 },
     { "first-heartbeat", 'f', "MS", 0, "delay of the first heartbeat (0)", 0 },
@@ -639,7 +674,12 @@
                                     .children = children,
                                     .doc = "Stand-in for a worker of the platform." };
   runner_t r = {
-    .service = "svc", .zone = "z", .label = "a", .rack = "r1", .accelerators = 8
+    .service = "svc",
+    .zone = "z",
+    .label = "a",
+    .rack = "r1",
+    .accelerators = 8,
+    .drain_ms = DRAIN_MS,
   };
   arguments_t arguments = { .runner = &r,
                             .params = { .role = "runner",
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -10,6 +10,8 @@
 #include <map>
 #include <set>
 
+#include "soak/plan.h"
+
 namespace soak
 {
 
@@ -20,6 +22,8 @@
 static const int64_t kStopMs = 400;
 static const int64_t kVisibleMs = 3000;
 static const int64_t kEarlyMs = 250;
+static const int64_t kDrainMs = 2000;
+static const int64_t kReclaimMs = 2900;
 static const int64_t kFinishMs = 14000;
 static const int64_t kIdleMs = 3000;
 static const int kAttempts = 3;
@@ -60,7 +64,7 @@
 }
 
 std::vector<Run>
-ReadRuns (const std::string &dir, int workers, const std::vector<Life> &lives)
+ReadRuns (const std::string &dir, int workers, std::vector<Life> &lives)
 {
   std::vector<Run> runs;
 
@@ -90,6 +94,13 @@
             }
           else if (ev == "start_delayed")
             delayed.insert (task);
+          else if (ev == "drain_seen")
+            {
+              Life &life = lives[LifeAt (lives, worker, t)];
+
+              if (life.drain_seen_ms == 0)
+                life.drain_seen_ms = t;
+            }
           else if (ev == "run_start")
             {
               Run run = { task, "", 0, 0, number, LifeAt (lives, worker, t),
@@ -180,6 +191,7 @@
         CheckEnd (j);
         CheckIdle (j);
         CheckCanceled (j);
+        CheckReclaim (j);
       }
     return violations_;
   }
@@ -266,6 +278,16 @@
     for (int i = 0; step.gang && i < step.count; i++)
       done.insert (r.task.substr (0, r.task.rfind ('.') + 1) + std::to_string (i));
   }
+  // Returns whether no fault was near the agent of LIFE for kContactMs before TIME_MS.
+  bool
+  InTouch (const Life &life, int64_t time_ms) const
+  {
+    for (auto &d : e_.disturbed)
+      if ((d.name == "agent" + std::to_string (life.worker) || d.name == "*") &&
+          d.begin_ms < time_ms && d.end_ms + kContactMs > time_ms)
+        return false;
+    return true;
+  }
   void
   CheckStart (const Run &r)
   {
@@ -294,6 +316,9 @@
               o->begin_ms <= r.begin_ms && EndOf (*o) > r.begin_ms;
     if (step.max_per_worker > 0 && same > step.max_per_worker)
       Break ("ROUTE", r.job, Text (r) + " beyond the limit for each worker");
+    if (life.drain_seen_ms != 0 && !r.late &&
+        r.begin_ms > life.drain_seen_ms + kDrainMs && InTouch (life, r.begin_ms))
+      Break ("DRAIN", r.job, Text (r) + " on a worker that leaves");
     if (job.CanceledMs () != 0 && !r.late && r.begin_ms > e_.calm_ms + kContactMs &&
         r.begin_ms > job.CanceledMs () + kCancelMs)
       Break ("UNASKED", r.job, Text (r) + " after the job was cancelled");
@@ -500,6 +525,39 @@
         return true;
     return false;
   }
+  // Checks that urgent work within the guarantee of its tenant starts in calm times.
+  void
+  CheckReclaim (const Job &job)
+  {
+    int64_t accepted_ms = job.AcceptedMs ();
+    int64_t due_ms = accepted_ms + kReclaimMs;
+    int needed = 0;
+    std::set<std::string> begun;
+
+    if (accepted_ms < e_.calm_ms + kContactMs || job.queue != 0 || job.times > 0 ||
+        job.CancelSent () || due_ms > e_.end_ms || job.steps[0].accelerators == 0)
+      return;
+    for (auto &j : e_.jobs)
+      {
+        bool sent = !j.submits.empty () && j.submits[0].sent_ms < due_ms;
+
+        if (j.queue == 0 && j.tenant == job.tenant && sent &&
+            TasksDone (j, accepted_ms) < TaskCount (j))
+          for (auto &s : j.steps)
+            needed += s.count * s.accelerators * std::max (j.times, 1);
+      }
+    if (needed > kGuaranteed)
+      return;
+    if (of_job_.count (job.id))
+      for (const Run *r : of_job_.at (job.id))
+        if (r->step == 0 && r->begin_ms <= due_ms)
+          begun.insert (r->task);
+    if (static_cast<int> (begun.size ()) < job.steps[0].count)
+      Break ("RECLAIM", job.id,
+             std::to_string (begun.size ()) + " of " +
+                 std::to_string (job.steps[0].count) + " tasks begun by " +
+                 std::to_string (due_ms));
+  }
 };
 
 // Returns the time of a line of a log or trace, in ms, or 0.
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -20,6 +20,7 @@
   std::string rack;
   int64_t begin_ms;
   int64_t end_ms; // 0: it still runs
+  int64_t drain_seen_ms = 0; // its notice to leave was acknowledged
 };
 
 struct Run
@@ -37,8 +38,17 @@
   bool late = false; // the worker carried the start out late
 };
 
+// A time in which a fault acted on a process, or on all (`*`).
+struct Disturbance
+{
+  std::string name;
+  int64_t begin_ms;
+  int64_t end_ms;
+};
+
 struct Evidence
 {
+  std::vector<Disturbance> disturbed;
   std::vector<Job> jobs;
   std::vector<Life> lives;
   std::vector<Run> runs;
@@ -54,9 +64,9 @@
   std::string text;
 };
 
-// Reads the runs from the traces of WORKERS workers in DIR.
+// Reads the runs, and what LIVES lack, from the traces of WORKERS workers in DIR.
 std::vector<Run> ReadRuns (const std::string &dir, int workers,
-                           const std::vector<Life> &lives);
+                           std::vector<Life> &lives);
 std::vector<Violation> Check (const Evidence &evidence);
 // Returns the lines of all logs and traces in DIR about JOB, and those about faults,
 // workers and schedulers, in the order of their times.
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -12,7 +12,6 @@
 static const int kZones = 3;
 static const int64_t kGraceMs = 6000;
 static const int64_t kTurnMs = 5;
-// A worker that leaves ends by itself some seconds after its notice.
 static const char *const kSettings = "hold_max_ms: 4000\ngrace_s: 6\n";
 
 static std::string
@@ -35,7 +34,9 @@
     AddEntry (i);
   for (int i = 0; i < options.workers; i++)
     AddAgent (i);
-  Publish ();
+  Publish ("");
+  while (!records_.empty ())
+    Turn ();
   for (auto &p : processes_)
     Up (p.first);
 }
@@ -82,6 +83,7 @@
   worker.id = Name ("w", i);
   worker.label = i % 4 == 3 ? "b" : "a";
   worker.clock_percent = i % 5 == 1 ? 98 : 100;
+  worker.drain_ms = 2500 + 1100 * (i % 4);
   proxies_.SetZone (name, zone);
   proxies_.SetZone (Name ("worker", i), zone);
   std::ofstream (path) << "name: " << name << "\navailability_zone: " << zone
@@ -110,33 +112,55 @@
          { "--listen", w.address, "--announce", w.via, "--agent", w.control, "--id",
            w.id, "--rack", rack, "--zone", Name ("z", i % kZones), "--label", w.label,
            "--clock", std::to_string (w.clock_percent), "--first-heartbeat",
-           std::to_string (w.first_heartbeat_ms), "--progress", "--trace",
+           std::to_string (w.first_heartbeat_ms), "--drain",
+           std::to_string (w.drain_ms), "--progress", "--trace",
            dir_ + "/" + name + ".trace" });
   lives.push_back ({ i, w.id, w.label, rack, WallMs (), 0 });
   w.first_heartbeat_ms = 0;
 }
 
-// Publishes a queue for each of three priorities.
+// Publishes a new version of the configuration: a queue for each of three priorities
+// but for the queue WITHOUT, and tenants with guaranteed accelerators.
 void
-Site::Publish ()
+Site::Publish (const std::string &without)
 {
-  std::string text = "{\"version\":1,\"routes\":[";
+  std::string text = "{\"version\":" + std::to_string (++version_) + ",\"routes\":[";
   std::string record;
+  bool first = true;
 
   for (int p = 0; p < 3; p++)
-    text += std::string (p > 0 ? "," : "") + "{\"name\":\"" + Name ("q", p) +
-            "\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/" + Name ("q", p) +
-            "/\",\"priority\":" + std::to_string (p) +
-            ",\"service\":\"svc\",\"attempts\":3,\"stretch\":3,\"sloMs\":3000,"
-            "\"timeoutMs\":3000,\"public\":true}";
-  text += "],\"tenants\":[]}";
+    {
+      if (Name ("q", p) == without)
+        continue;
+      text += std::string (first ? "" : ",") + "{\"name\":\"" + Name ("q", p) +
+              "\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/" + Name ("q", p) +
+              "/\",\"priority\":" + std::to_string (p) +
+              ",\"service\":\"svc\",\"attempts\":3,\"stretch\":3,\"sloMs\":3000,"
+              "\"timeoutMs\":3000}";
+      first = false;
+    }
+  text += "],\"tenants\":[";
+  for (int t = 0; t < kTenants; t++)
+    text += std::string (t == 0 ? "" : ",") + "{\"name\":\"" + Name ("tenant", t) +
+            "\",\"apiKeys\":[\"" + Name ("key", t) + "\"],\"guaranteed\":{\"gpu\":" +
+            std::to_string (kGuaranteed) + "}}";
+  text += "]}";
   record = std::string (1, 6) + "config" + text;
   for (int shift = 0; shift < 32; shift += 8)
     record.insert (record.begin (), static_cast<char> ((6 + 1 + text.size ()) >> shift));
-  Until ([&] {
-    return Call (store_, "POST", "/api/log-append?topic=keyed.op&part=0", record, 2000)
-               .status == 200;
-  });
+  records_.push_back (record);
+  PublishNext ();
+}
+
+// Appends the oldest version that is not in the store yet. The operator repeats what the
+// store has not acknowledged.
+void
+Site::PublishNext ()
+{
+  if (publishing_ != nullptr || records_.empty ())
+    return;
+  publishing_ = &Begin (listening_store_, "POST",
+                        "/api/log-append?topic=keyed.op&part=0", records_[0], 1000);
 }
 
 bool
@@ -169,6 +193,7 @@
   Process &p = processes_[name];
 
   p.start ();
+  disturbed.push_back ({ name, p.disturbed_ms, WallMs () });
   p.disturbed = false;
   p.term_ms = 0;
   proxies_.SetPid (name, Pid (name));
@@ -200,6 +225,13 @@
 Site::Turn ()
 {
   Pause (kTurnMs);
+  if (publishing_ != nullptr && publishing_->done)
+    {
+      if (publishing_->status == 200)
+        records_.erase (records_.begin ());
+      publishing_ = nullptr;
+      PublishNext ();
+    }
   while (!due_.empty () && due_.begin ()->first <= WallMs ())
     {
       auto act = due_.begin ()->second;
@@ -282,7 +314,8 @@
   for (int64_t end_ms = WallMs () + 2 * kGraceMs; WallMs () < end_ms;)
     {
       Turn ();
-      if (std::none_of (processes_.begin (), processes_.end (),
+      if (records_.empty () &&
+          std::none_of (processes_.begin (), processes_.end (),
                         [] (const std::pair<const std::string, Process> &p) {
                           return p.second.disturbed;
                         }))
@@ -356,11 +389,13 @@
 {
   std::vector<std::string> members;
 
-  if (name != "entries" && name != "agents" && name != "all")
+  if (name != "entries" && name != "agents" && name != "all" &&
+      name != "power")
     return { Resolve (name) };
   for (auto &p : processes_)
     if ((name != "agents" && p.first[0] == 'e') ||
-        (name != "entries" && p.first[0] == 'a'))
+        (name != "entries" && p.first[0] == 'a') ||
+        (name == "power" && p.first[0] == 'w'))
       members.push_back (p.first);
   return members;
 }
@@ -386,6 +421,11 @@
     }
   else if (f.kind == "worker-mode")
     Mode (workers_[static_cast<size_t> (NumberOf (f.a))].address, f.b, f.x, f.y, f.ms);
+  else if (f.kind == "config")
+    {
+      Publish (f.a);
+      After (f.ms, [=] { Publish (""); });
+    }
   else if (f.kind == "store")
     Mode (listening_store_, f.a, f.x, 0, f.ms);
   else if (f.kind == "writer")
@@ -404,7 +444,8 @@
   if (p.disturbed || Pid (name) == 0)
     return;
   p.disturbed = true;
-  if (f.kind == "pause")
+  p.disturbed_ms = WallMs ();
+  if (f.kind == "pause" && name[0] != 'w')
     {
       Note ("paused " + name);
       Signal (name, SIGSTOP);
@@ -412,12 +453,13 @@
         Note ("resumed " + name);
         Signal (name, SIGCONT);
         processes_[name].disturbed = false;
+        disturbed.push_back ({ name, processes_[name].disturbed_ms, WallMs () });
       });
       return;
     }
-  Down (name, f.kind == "kill" ? SIGKILL : SIGTERM);
+  Down (name, f.kind == "stop" && name[0] != 'w' ? SIGTERM : SIGKILL);
   p.restart_ms = f.ms;
-  if (f.kind == "kill")
+  if (f.kind != "stop" || name[0] == 'w')
     After (f.ms, [=] { Up (name); });
 }
 
@@ -430,6 +472,7 @@
   if (p.disturbed || Pid (f.a) == 0)
     return;
   p.disturbed = true;
+  p.disturbed_ms = WallMs ();
   w.first_heartbeat_ms = f.x;
   if (f.kind == "replace" || f.kind == "leave")
     w.id = "w" + std::to_string (NumberOf (f.a)) + "-" + std::to_string (++w.replaced);
@@ -514,6 +557,7 @@
   rule.end_ms = WallMs () + f.ms;
   Note ("path " + rule.from + " to " + rule.to);
   proxies_.Add (rule);
+  disturbed.push_back ({ "*", WallMs (), rule.end_ms });
 }
 
 // Sets the mode of the stand-in at ADDRESS for FOR_MS. A later mode replaces it.
@@ -524,6 +568,7 @@
   int64_t end_ms = WallMs () + for_ms;
 
   modes_end_ms_[address] = end_ms;
+  disturbed.push_back ({ "*", WallMs (), end_ms });
   Begin (address, "POST", "/control",
          "{\"mode\":\"" + mode + "\"" +
              (count < 0 ? "" : ",\"count\":" + std::to_string (count)) +
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -33,6 +33,7 @@
 
   std::vector<std::string> callers; // addresses of the entries for clients
   std::vector<Life> lives;          // of workers
+  std::vector<Disturbance> disturbed;
   std::vector<std::string> own_ends; // processes that ended by themselves
 
 private:
@@ -41,6 +42,7 @@
     std::function<void ()> start;
     bool disturbed = false; // stopped, killed or paused by a fault
     bool paused = false;
+    int64_t disturbed_ms = 0;
     int64_t term_ms = 0;    // when it was sent SIGTERM, 0: not
     int64_t restart_ms = 0; // after its end
   };
@@ -51,12 +53,14 @@
     int replaced = 0;
     int clock_percent = 100;
     int first_heartbeat_ms = 0;
+    int drain_ms = 0;
   };
 
   void AddEntry (int i);
   void AddAgent (int i);
   void StartWorker (int i);
-  void Publish ();
+  void Publish (const std::string &without);
+  void PublishNext ();
   void Up (const std::string &name);
   void Down (const std::string &name, int signal);
   void Turn ();
@@ -78,6 +82,9 @@
   Proxies proxies_;
   std::string store_;
   std::string listening_store_;
+  int version_ = 0; // of the configuration
+  std::vector<std::string> records_; // versions that the store has not acknowledged
+  site::Reply *publishing_ = nullptr;
   std::vector<std::string> ready_;
   std::vector<Worker> workers_;
   std::map<std::string, Process> processes_;
--- a/soak/load.cc
+++ b/soak/load.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstring>
 
+#include "soak/plan.h"
 #include "soak/proxies.h"
 #include "test/port.h"
 
@@ -42,10 +43,11 @@
   // Returns the status, 0 without an answer, or -1 when the connection was refused.
   int
   Call (const std::string &address, const std::string &method, const std::string &path,
-        const std::string &body, std::string *answer)
+        const std::string &body, int tenant, std::string *answer)
   {
     int64_t due_ms = WallMs () + kDeadlineMs;
     std::string text = method + " " + path + " HTTP/1.1\r\nhost: " + address +
+                       "\r\nkey: key" + std::to_string (tenant) +
                        "\r\ncontent-type: application/json\r\ndeadline-ms: " +
                        std::to_string (kDeadlineMs) + "\r\ncontent-length: " +
                        std::to_string (body.size ()) + "\r\n\r\n" + body;
@@ -296,6 +298,7 @@
 
   snprintf (id, sizeof id, "%016x", number);
   job.id = id;
+  job.tenant = static_cast<int> (Pick (random, 0, kTenants - 1));
   job.queue = static_cast<int> (Pick (random, 0, 2));
   job.fails = Pick (random, 0, 19) == 0;
   s.count = static_cast<int> (Pick (random, 1, 4));
@@ -376,7 +379,7 @@
         jobs_.at (id).submits.push_back (call);
       }
       call.status = client.connections[e].Call (entries_[e], "POST", job.Path (),
-                                                job.Body (), &answer);
+                                                job.Body (), job.tenant, &answer);
       call.answered_ms = WallMs ();
       std::lock_guard<std::mutex> lock (mutex_);
       jobs_.at (id).submits.back () = call;
@@ -404,7 +407,7 @@
         jobs_.at (id).cancels.push_back (call);
       }
       call.status =
-          client.connections[e].Call (entries_[e], "DELETE", job.Path (), "", &answer);
+          client.connections[e].Call (entries_[e], "DELETE", job.Path (), "", job.tenant, &answer);
       call.answered_ms = WallMs ();
       std::lock_guard<std::mutex> lock (mutex_);
       jobs_.at (id).cancels.back () = call;
@@ -422,7 +425,7 @@
   ClientCall call = { entry, WallMs (), 0, 0, "" };
 
   call.status =
-      client.connections[e].Call (entries_[e], "GET", job.Path (), "", &answer);
+      client.connections[e].Call (entries_[e], "GET", job.Path (), "", job.tenant, &answer);
   call.answered_ms = WallMs ();
   call.state = call.status == 200 ? Member (answer, "state") : "";
   std::lock_guard<std::mutex> lock (mutex_);
--- a/soak/load.h
+++ b/soak/load.h
@@ -46,6 +46,7 @@
 {
   std::string id;
   int queue = 0; // and its priority
+  int tenant = 0;
   std::vector<StepSpec> steps;
   std::string spec;
   bool fails = false;
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -37,13 +37,19 @@
       {
         Fault f = OfProcess ();
 
-        switch (Pick (0, 11))
+        switch (Pick (0, 12))
           {
           case 0:
           case 1:
           case 2:
           case 3:
             break;
+          case 12:
+            f = Fault ();
+            f.kind = "config";
+            f.a = "q" + std::to_string (Pick (0, 2));
+            f.ms = Pick (500, 6000);
+            break;
           case 4:
           case 5:
             f = OfWorker ();
@@ -113,7 +119,7 @@
     f.kind = Of ({ "kill", "kill", "stop", "pause", "pause" });
     f.a = Pick (0, 1) ? Entry () : Agent ();
     if (Pick (0, 19) == 0)
-      f.a = Of ({ "entries", "agents", "all" });
+      f.a = Of ({ "entries", "agents", "all", "power" });
     f.ms = f.kind == "pause" ? Pick (200, 9000) : Pick (20, 4000);
     // Another process fails within milliseconds of the take-over after this fault.
     if (f.a == "scheduler" && Pick (0, 2) == 0)
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -10,6 +10,10 @@
 namespace soak
 {
 
+// Tenants, each with a key and guaranteed accelerators.
+const int kTenants = 3;
+const int kGuaranteed = 8;
+
 struct Options
 {
   uint32_t seed = 1;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -71,6 +71,7 @@
   e.end_ms = WallMs ();
   e.jobs = load.Jobs ();
   e.lives = site.lives;
+  e.disturbed = site.disturbed;
   e.runs = ReadRuns (site.Dir (), arguments.options.workers, e.lives);
   size_t accepted = 0;
   for (auto &j : e.jobs)
