--- a/soak/proxies.cc
+++ b/soak/proxies.cc
@@ -110,11 +110,10 @@
   std::lock_guard<std::mutex> lock (mutex_);
   for (auto &l : listeners_)
     {
-      if (l.to != to || (l.fd >= 0) == running)
+      if (l.to != to)
         continue;
-      if (running)
-        l.fd = ListenOn (l.address, kBacklog);
-      else
+      l.running = running;
+      if (!running && l.fd >= 0)
         {
           close (l.fd);
           l.fd = -1;
@@ -329,6 +328,13 @@
 
       {
         std::lock_guard<std::mutex> lock (mutex_);
+        for (auto &l : listeners_)
+          if (l.running && l.fd < 0)
+            {
+              // Fails as long as the kernel still has the closed socket.
+              l.fd = ListenOn (l.address, kBacklog);
+              timeout_ms = kBusyPollMs;
+            }
         for (auto &l : listeners_)
           if (l.fd >= 0)
             {
--- a/soak/proxies.h
+++ b/soak/proxies.h
@@ -72,6 +72,7 @@
   {
     std::string from, to, address, target, appended, replacement;
     int fd = -1;
+    bool running = true;
   };
   struct Pipe
   {
