Stand-in of a worker: shorten leases to the maximum

A call for an earlier process of a worker under the same id carries a deadline of that process's clock. The platform shortens a lease to holdMaxMs; the stand-in took a deadline 14 s ahead.

--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -34,6 +34,9 @@
 /* Capacity that the worker reports. */
 #define CPU_MILLI 64000
 #define MEMORY_MB 131072
+/* Longest lease, as hold_max_ms in the settings of the tests' agents and entries. A
+   longer one, such as that of a call for an earlier process, is shortened. */
+#define HOLD_MAX_MS 4000
 /* Default time between SIGTERM and the exit. */
 #define DRAIN_MS 2500
 /* Delay of a start in the fault mode `late`: more than a call may take, so that the
@@ -444,9 +447,12 @@
   else
     {
       r->fencing_token = (uint64_t)integer_member (body, "fencingToken");
-      if (integer_member (body, "deadlineMs") > r->lease_end_ms)
+      cb_msec_t deadline_ms =
+          MIN (integer_member (body, "deadlineMs"), now () + HOLD_MAX_MS);
+
+      if (deadline_ms > r->lease_end_ms)
         {
-          r->lease_end_ms = integer_member (body, "deadlineMs");
+          r->lease_end_ms = deadline_ms;
           cb_fake_event (&r->fake, "lease",
                          "\"clock_ms\":%" G_GINT64_FORMAT
                          ",\"deadline_ms\":%" G_GINT64_FORMAT
