Run pending sockets before h2o frees closed ones

Cause: timers run between two iterations of h2o's loop. A timer that sends a request on an idle connection completes the write at once, which puts the socket on the loop's list of pending sockets. When another timer, or the same one, then closes that connection, the next iteration frees the socket before it runs the list, which still has it. If the memory has become a new socket meanwhile, whose link points to itself, the list never ends. Many timers are due at once after a pause.

Evidence: gdb on the process showed h2o_evloop_run with the head of the list pointing to a socket that had just been created (no flags but that of accepted data, its link pointing to itself).

h2o runs the list after each of its own timers. The loop now does so before each iteration, after our timers and before the first one, so that no socket is pending when closed ones are freed.

The test cancels a call in the turn of the timer that began it. It failed before: 1 iteration began with a pending socket. It looks at the list itself, as a freed block is not used again under AddressSanitizer.

--- a/net/loop.c
+++ b/net/loop.c
@@ -118,15 +118,26 @@
   g_free (loop);
 }
 
+/* Runs the callbacks of sockets that a function called from outside of h2o's loop has
+   made pending. An iteration of that loop frees closed sockets first and does not
+   expect them to be pending. */
+static void
+run_pending_sockets (cb_loop_t *loop)
+{
+  h2o_timeout__do_post_callback (loop->h2o);
+}
+
 /* Runs until cb_loop_stop. */
 void
 cb_loop_run (cb_loop_t *loop)
 {
   loop->stopping = FALSE;
+  run_pending_sockets (loop);
   while (!loop->stopping)
     {
       h2o_evloop_run (loop->h2o, time_to_next_timer_ms (loop));
       run_due_timers (loop);
+      run_pending_sockets (loop);
     }
 }
 
--- a/test/net_test.cc
+++ b/test/net_test.cc
@@ -12,6 +12,11 @@
 #include <string>
 #include <vector>
 
+extern "C"
+{
+#include <h2o.h>
+}
+
 #include "net/fns.h"
 #include "test/port.h"
 
@@ -19,6 +24,8 @@
 {
 
 std::function<void ()> after_monitor_connect;
+// Iterations of h2o's loop that began with sockets in its list of pending ones.
+int iterations_with_pending_sockets;
 
 } // namespace
 
@@ -36,6 +43,18 @@
   return rc;
 }
 
+// Takes the place of the library's function, to look at the loop before an iteration.
+extern "C" int
+h2o_evloop_run (h2o_evloop_t *loop, int32_t max_wait)
+{
+  static auto real = reinterpret_cast<int (*) (h2o_evloop_t *, int32_t)> (
+      dlsym (RTLD_NEXT, "h2o_evloop_run"));
+
+  iterations_with_pending_sockets +=
+      loop->_pending_as_client != nullptr || loop->_pending_as_server != nullptr;
+  return real (loop, max_wait);
+}
+
 namespace
 {
 
@@ -115,6 +134,48 @@
   EXPECT_EQ (CB_NET_TIMEOUT, x.err);
 }
 
+// A socket that is written to and closed between two iterations of h2o's loop is freed
+// by the next one, which goes on to use it if it is still pending.
+TEST (Loop, NoSocketOfATimerIsPendingWhenAnIterationBegins)
+{
+  std::string address = FreeAddress ();
+  cb_http_spec_t spec = {};
+  Exchange x;
+
+  x.loop = cb_loop_new ();
+  ASSERT_EQ (0, cb_http_listen (x.loop, address.c_str (), Echo, &x, &x.server));
+  spec.address = address.c_str ();
+  spec.method = "GET";
+  spec.path = "/";
+  spec.keep_alive = TRUE;
+  spec.timeout_ms = 20000;
+  cb_http_call (x.loop, &spec, Done, &x);
+  cb_loop_run (x.loop);
+  ASSERT_EQ (200, x.status);
+  struct Turn
+  {
+    cb_loop_t *loop;
+    cb_http_spec_t *spec;
+  } turn = { x.loop, &spec };
+  // The idle connection takes the request at once.
+  cb_timer_t *call = cb_timer_new (
+      x.loop, 10, 0,
+      [] (void *ctx) {
+        Turn *t = static_cast<Turn *> (ctx);
+        cb_http_cancel (cb_http_call (
+            t->loop, t->spec, [] (void *, int, int, const char *, size_t) {}, nullptr));
+      },
+      &turn);
+  cb_timer_t *stop = cb_timer_new (
+      x.loop, 100, 0, [] (void *ctx) { cb_loop_stop (static_cast<cb_loop_t *> (ctx)); },
+      x.loop);
+  iterations_with_pending_sockets = 0;
+  cb_loop_run (x.loop);
+  EXPECT_EQ (0, iterations_with_pending_sockets);
+  cb_timer_free (call);
+  cb_timer_free (stop);
+}
+
 TEST (Http, RequestToAnUnusedPortIsReportedAsNotSent)
 {
   std::string address = FreeAddress ();
