--- a/fakes/lib/fake.c
+++ b/fakes/lib/fake.c
@@ -115,9 +115,9 @@
   json_decref (body);
 }
 
-/* Handles `POST /control {"mode":M,"count":N,"delay_ms":D}`: turns on fault mode M until it has been
-   used N times, or without N until the next such call. Returns FALSE, without a reply,
-   when REQ is for another path. */
+/* Handles `POST /control {"mode":M,"count":N,"delay_ms":D}`: turns on fault mode M
+   until it has been used N times, or without N until the next such call. Returns FALSE,
+   without a reply, when REQ is for another path. */
 gboolean
 cb_fake_control (cb_fake_t *fake, cb_http_req_t *req)
 {
@@ -129,9 +129,8 @@
   if (strcmp (cb_http_path (req), "/control") != 0)
     return FALSE;
   body = json_loads (cb_http_body (req, NULL), 0, NULL);
-  if (body == NULL ||
-      json_unpack (body, "{s:s,s?I,s?I}", "mode", &mode, "count", &count, "delay_ms",
-                   &delay_ms) != 0)
+  if (body == NULL || json_unpack (body, "{s:s,s?I,s?I}", "mode", &mode, "count",
+                                   &count, "delay_ms", &delay_ms) != 0)
     {
       json_decref (body);
       cb_fake_reply (req, 400,
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -86,7 +86,7 @@
   cb_fake_t fake;
   const char *announced; /* address in the heartbeats */
   const char *zone;
-  const char *label;     /* its kind */
+  const char *label; /* its kind */
   const char *agent;
   const char *id;
   const char *service;
@@ -219,10 +219,9 @@
     {
       const run_t *run = l->data;
 
-      json_array_append_new (running,
-                             json_pack ("[s,i,s,i,i]", odd_run ? "" : run->task,
-                                        run->run, "", percent_done (r, run),
-                                        latency_ms (r)));
+      json_array_append_new (
+          running, json_pack ("[s,i,s,i,i]", odd_run ? "" : run->task, run->run, "",
+                              percent_done (r, run), latency_ms (r)));
     }
   for (GList *l = r->ends.head; l != NULL && json_array_size (ended) < ENDS_LISTED_MAX;
        l = l->next)
@@ -500,13 +499,13 @@
 {
   char *path = g_strdup_printf ("/api/instances/%s/%s", r->id, resource);
   gboolean draining = r->draining_ms != 0 || cb_fake_mode_active (&r->fake, "draining");
-  json_t *body =
-      json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
-                 "service", r->service, "address", r->announced, "zone", r->zone, "version",
-                 "v1", "slots", 8, "state", draining ? "draining" : "ready", "capacity",
-                 "cpu", CPU_MILLI, "memMb", MEMORY_MB, "gpu", r->accelerators, "labels",
-                 r->label, r->rack, "clockMs", (json_int_t)now (), "seq",
-                 (json_int_t)++r->sequence, "born", (json_int_t)r->start_wall_ms);
+  json_t *body = json_pack (
+      "{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}", "service",
+      r->service, "address", r->announced, "zone", r->zone, "version", "v1", "slots", 8,
+      "state", draining ? "draining" : "ready", "capacity", "cpu", CPU_MILLI, "memMb",
+      MEMORY_MB, "gpu", r->accelerators, "labels", r->label, r->rack, "clockMs",
+      (json_int_t)now (), "seq", (json_int_t)++r->sequence, "born",
+      (json_int_t)r->start_wall_ms);
   char *text = json_dumps (body, JSON_COMPACT);
   cb_http_spec_t spec = { .address = r->agent,
                           .method = "POST",
@@ -663,7 +662,8 @@
     { "agent", 'a', "ADDRESS", 0, "control address of the agent (host:port)", 0 },
     { "id", 'i', "NAME", 0, "name of the worker", 0 },
     { "rack", 'r', "NAME", 0, "rack of the worker (r1)", 0 },
-    { "announce", 'A', "ADDRESS", 0, "address in the heartbeats (that of --listen)", 0 },
+    { "announce", 'A', "ADDRESS", 0, "address in the heartbeats (that of --listen)",
+      0 },
     { "zone", 'z', "NAME", 0, "availability zone (z)", 0 },
     { "label", 'L', "NAME", 0, "kind of the worker (a)", 0 },
     { "clock", 'c', "PERCENT", 0, "speed of the worker's clock (100)", 0 },
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -103,8 +103,17 @@
             }
           else if (ev == "run_start")
             {
-              Run run = { task, "", 0, 0, number, LifeAt (lives, worker, t),
-                          t,    0,  "", 0, delayed.count (task) > 0 };
+              Run run = { task,
+                          "",
+                          0,
+                          0,
+                          number,
+                          LifeAt (lives, worker, t),
+                          t,
+                          0,
+                          "",
+                          0,
+                          delayed.count (task) > 0 };
 
               ParseTask (run);
               run.end_ms = lives[run.life].end_ms;
@@ -127,8 +136,8 @@
   return runs;
 }
 
-// The members of a gang end together, and one end as done counts for all. The workers of
-// fakes/ do not know of each other's members and end them one by one.
+// The members of a gang end together, and one end as done counts for all. The workers
+// of fakes/ do not know of each other's members and end them one by one.
 static void
 EndGangsTogether (Evidence &e)
 {
@@ -227,8 +236,7 @@
     for (size_t a = 0; a < runs.size (); a++)
       for (size_t b = a + 1; b < runs.size (); b++)
         if (runs[b]->begin_ms < EndOf (*runs[a]))
-          Break ("TWICE", runs[a]->job,
-                 Text (*runs[a]) + " while " + Text (*runs[b]));
+          Break ("TWICE", runs[a]->job, Text (*runs[a]) + " while " + Text (*runs[b]));
   }
   // Checks that nothing starts after a noted end `done` or after all attempts failed.
   void
@@ -340,8 +348,7 @@
 
         for (const Run *o : runs)
           {
-            const StepSpec &s =
-                jobs_[o->job]->steps[static_cast<size_t> (o->step)];
+            const StepSpec &s = jobs_[o->job]->steps[static_cast<size_t> (o->step)];
 
             if (o->begin_ms > r->begin_ms || EndOf (*o) <= r->begin_ms)
               continue;
@@ -449,8 +456,7 @@
   void
   CheckIdle (const Job &job)
   {
-    int64_t from_ms =
-        std::max (e_.load_end_ms, e_.calm_ms + kContactMs) + kFinishMs;
+    int64_t from_ms = std::max (e_.load_end_ms, e_.calm_ms + kContactMs) + kFinishMs;
     int64_t idle_since_ms = 0;
 
     if (job.AcceptedMs () == 0 || job.CancelSent () || job.fails || job.times > 0)
@@ -488,8 +494,7 @@
     for (auto &r : e_.runs)
       if (r.begin_ms <= t && EndOf (r) > t && jobs_.count (r.job))
         {
-          const StepSpec &s =
-              jobs_.at (r.job)->steps[static_cast<size_t> (r.step)];
+          const StepSpec &s = jobs_.at (r.job)->steps[static_cast<size_t> (r.step)];
 
           accelerators += s.accelerators;
           cpu += s.cpu;
@@ -616,11 +621,10 @@
     }
   if (d != nullptr)
     closedir (d);
-  std::stable_sort (lines.begin (), lines.end (),
-                    [] (const std::pair<int64_t, std::string> &a,
-                        const std::pair<int64_t, std::string> &b) {
-                      return a.first < b.first;
-                    });
+  std::stable_sort (
+      lines.begin (), lines.end (),
+      [] (const std::pair<int64_t, std::string> &a,
+          const std::pair<int64_t, std::string> &b) { return a.first < b.first; });
   for (auto &l : lines)
     text += std::to_string (l.first) + " " + l.second + "\n";
   return text;
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -19,7 +19,7 @@
   std::string label;
   std::string rack;
   int64_t begin_ms;
-  int64_t end_ms; // 0: it still runs
+  int64_t end_ms;            // 0: it still runs
   int64_t drain_seen_ms = 0; // its notice to leave was acknowledged
 };
 
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -52,10 +52,10 @@
   proxies_.SetZone (name, Name ("z", i % kZones));
   callers.push_back (proxies_.Relay ("client", name, caller));
   ready_.push_back (FreeAddress ());
-  std::ofstream (path) << "name: " << name << "\navailability_zone: "
-                       << Name ("z", i % kZones) << "\ncaller_address: '" << caller
-                       << "'\nready_address: '" << ready_.back ()
-                       << "'\nmetrics_address: '" << FreeAddress ()
+  std::ofstream (path) << "name: " << name
+                       << "\navailability_zone: " << Name ("z", i % kZones)
+                       << "\ncaller_address: '" << caller << "'\nready_address: '"
+                       << ready_.back () << "'\nmetrics_address: '" << FreeAddress ()
                        << "'\nstore_address: '"
                        << proxies_.Relay (name, "store", store_, caller, announced)
                        << "'\n"
@@ -109,11 +109,28 @@
   std::string rack = Name ("r", i / 3);
 
   Start (name, "carobrun-fake-runner",
-         { "--listen", w.address, "--announce", w.via, "--agent", w.control, "--id",
-           w.id, "--rack", rack, "--zone", Name ("z", i % kZones), "--label", w.label,
-           "--clock", std::to_string (w.clock_percent), "--first-heartbeat",
-           std::to_string (w.first_heartbeat_ms), "--drain",
-           std::to_string (w.drain_ms), "--progress", "--trace",
+         { "--listen",
+           w.address,
+           "--announce",
+           w.via,
+           "--agent",
+           w.control,
+           "--id",
+           w.id,
+           "--rack",
+           rack,
+           "--zone",
+           Name ("z", i % kZones),
+           "--label",
+           w.label,
+           "--clock",
+           std::to_string (w.clock_percent),
+           "--first-heartbeat",
+           std::to_string (w.first_heartbeat_ms),
+           "--drain",
+           std::to_string (w.drain_ms),
+           "--progress",
+           "--trace",
            dir_ + "/" + name + ".trace" });
   lives.push_back ({ i, w.id, w.label, rack, WallMs (), 0 });
   w.first_heartbeat_ms = 0;
@@ -142,18 +159,19 @@
   text += "],\"tenants\":[";
   for (int t = 0; t < kTenants; t++)
     text += std::string (t == 0 ? "" : ",") + "{\"name\":\"" + Name ("tenant", t) +
-            "\",\"apiKeys\":[\"" + Name ("key", t) + "\"],\"guaranteed\":{\"gpu\":" +
-            std::to_string (kGuaranteed) + "}}";
+            "\",\"apiKeys\":[\"" + Name ("key", t) +
+            "\"],\"guaranteed\":{\"gpu\":" + std::to_string (kGuaranteed) + "}}";
   text += "]}";
   record = std::string (1, 6) + "config" + text;
   for (int shift = 0; shift < 32; shift += 8)
-    record.insert (record.begin (), static_cast<char> ((6 + 1 + text.size ()) >> shift));
+    record.insert (record.begin (),
+                   static_cast<char> ((6 + 1 + text.size ()) >> shift));
   records_.push_back (record);
   PublishNext ();
 }
 
-// Appends the oldest version that is not in the store yet. The operator repeats what the
-// store has not acknowledged.
+// Appends the oldest version that is not in the store yet. The operator repeats what
+// the store has not acknowledged.
 void
 Site::PublishNext ()
 {
@@ -389,8 +407,7 @@
 {
   std::vector<std::string> members;
 
-  if (name != "entries" && name != "agents" && name != "all" &&
-      name != "power")
+  if (name != "entries" && name != "agents" && name != "all" && name != "power")
     return { Resolve (name) };
   for (auto &p : processes_)
     if ((name != "agents" && p.first[0] == 'e') ||
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -24,7 +24,8 @@
   explicit Site (const Options &options);
 
   bool WaitReady ();
-  // Applies PLAN, whose times begin now, and then runs until UNTIL_MS of the wall clock.
+  // Applies PLAN, whose times begin now, and then runs until UNTIL_MS of the wall
+  // clock.
   void Play (const std::vector<Fault> &plan, int64_t until_ms);
   // Ends all faults and starts what is not running.
   void Repair ();
@@ -82,7 +83,7 @@
   Proxies proxies_;
   std::string store_;
   std::string listening_store_;
-  int version_ = 0; // of the configuration
+  int version_ = 0;                  // of the configuration
   std::vector<std::string> records_; // versions that the store has not acknowledged
   site::Reply *publishing_ = nullptr;
   std::vector<std::string> ready_;
--- a/soak/load.cc
+++ b/soak/load.cc
@@ -23,7 +23,8 @@
 int64_t
 Pick (std::mt19937 &random, int64_t low, int64_t high)
 {
-  return low + static_cast<int64_t> (random () % static_cast<uint32_t> (high - low + 1));
+  return low +
+         static_cast<int64_t> (random () % static_cast<uint32_t> (high - low + 1));
 }
 
 void
@@ -49,8 +50,9 @@
     std::string text = method + " " + path + " HTTP/1.1\r\nhost: " + address +
                        "\r\nkey: key" + std::to_string (tenant) +
                        "\r\ncontent-type: application/json\r\ndeadline-ms: " +
-                       std::to_string (kDeadlineMs) + "\r\ncontent-length: " +
-                       std::to_string (body.size ()) + "\r\n\r\n" + body;
+                       std::to_string (kDeadlineMs) +
+                       "\r\ncontent-length: " + std::to_string (body.size ()) +
+                       "\r\n\r\n" + body;
 
     if (!IsOpen () && !Open (address))
       return -1;
@@ -406,8 +408,8 @@
         std::lock_guard<std::mutex> lock (mutex_);
         jobs_.at (id).cancels.push_back (call);
       }
-      call.status =
-          client.connections[e].Call (entries_[e], "DELETE", job.Path (), "", job.tenant, &answer);
+      call.status = client.connections[e].Call (entries_[e], "DELETE", job.Path (), "",
+                                                job.tenant, &answer);
       call.answered_ms = WallMs ();
       std::lock_guard<std::mutex> lock (mutex_);
       jobs_.at (id).cancels.back () = call;
@@ -424,8 +426,8 @@
   std::string answer;
   ClientCall call = { entry, WallMs (), 0, 0, "" };
 
-  call.status =
-      client.connections[e].Call (entries_[e], "GET", job.Path (), "", job.tenant, &answer);
+  call.status = client.connections[e].Call (entries_[e], "GET", job.Path (), "",
+                                            job.tenant, &answer);
   call.answered_ms = WallMs ();
   call.state = call.status == 200 ? Member (answer, "state") : "";
   std::lock_guard<std::mutex> lock (mutex_);
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -22,8 +22,7 @@
 class Planner
 {
 public:
-  explicit Planner (const Options &options)
-      : options_ (options), random_ (options.seed)
+  explicit Planner (const Options &options) : options_ (options), random_ (options.seed)
   {
   }
 
@@ -218,7 +217,9 @@
       }
     if (Pick (0, 1))
       std::swap (f.a, f.b);
-    f.ms = f.kind == "reset" ? 30 : f.kind == "delay" ? Pick (500, 9000) : Pick (300, 9000);
+    f.ms = f.kind == "reset"   ? 30
+           : f.kind == "delay" ? Pick (500, 9000)
+                               : Pick (300, 9000);
     f.x = static_cast<int> (Pick (0, 2)); // 0: all connections, 1: open, 2: new
     f.y = f.kind == "delay" ? static_cast<int> (Pick (50, 3000))
                             : static_cast<int> (Pick (0, 1)); // 1: both directions
@@ -313,7 +314,8 @@
 
       if (next < options.size () && running.size () < static_cast<size_t> (jobs))
         {
-          Play p = Begin (program, options[next], name + std::to_string (next) + ".log");
+          Play p =
+              Begin (program, options[next], name + std::to_string (next) + ".log");
 
           running[p.pid] = { next++, p.log };
           continue;
@@ -421,8 +423,9 @@
   auto failures = [&] (const Options &o) {
     int failed = 0;
 
-    for (auto &b : PlayAll (program, std::vector<Options> (static_cast<size_t> (plays), o),
-                            jobs, std::string (dir) + "/"))
+    for (auto &b :
+         PlayAll (program, std::vector<Options> (static_cast<size_t> (plays), o), jobs,
+                  std::string (dir) + "/"))
       {
         if (rule.empty () && !b.empty ())
           rule = b.begin ()->first;
--- a/soak/proxies.h
+++ b/soak/proxies.h
@@ -39,12 +39,12 @@
   std::string to;
   bool both = true; // also the bytes from TO to FROM
   Effect effect = Effect::kHold;
-  bool on_open = true;   // connections that are open when the rule begins
-  bool on_new = true;    // later ones
-  bool lose = false;     // kHold: bytes are lost and the connection stays silent
-  int64_t delay_ms = 0;  // kDelay
-  int64_t end_ms = 0;    // on the wall clock
-  int64_t begin_ms = 0;  // set by Proxies::Add
+  bool on_open = true;  // connections that are open when the rule begins
+  bool on_new = true;   // later ones
+  bool lose = false;    // kHold: bytes are lost and the connection stays silent
+  int64_t delay_ms = 0; // kDelay
+  int64_t end_ms = 0;   // on the wall clock
+  int64_t begin_ms = 0; // set by Proxies::Add
 };
 
 class Proxies
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -167,8 +167,8 @@
     { "plan", 'n', nullptr, 0, "print the plan only", 0 },
     { nullptr, 0, nullptr, 0, nullptr, 0 }
   };
-  static const struct argp argp = { options, Parse, nullptr, nullptr, nullptr, nullptr,
-                                    nullptr };
+  static const struct argp argp = { options, Parse,   nullptr, nullptr,
+                                    nullptr, nullptr, nullptr };
 
   testing::InitGoogleTest (&argc, argv);
   if (argp_parse (&argp, argc, argv, 0, nullptr, &arguments) != 0)
