--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -132,7 +132,8 @@
            "--progress",
            "--trace",
            dir_ + "/" + name + ".trace" });
-  lives.push_back ({ i, w.id, w.label, rack, WallMs (), 0 });
+  lives.push_back ({ i, w.id, w.label, rack, WallMs (), 0, 0 });
+  w.born_ms = WallMs ();
   w.first_heartbeat_ms = 0;
 }
 
@@ -540,6 +541,13 @@
       state = "\"gone\"";
       born = std::to_string (WallMs ());
       break;
+    case 7: // like a heartbeat of the other worker
+    case 8: // like one of its next life
+      id = other.id;
+      address = f.y ? own.via : other.via;
+      born = std::to_string (f.x == 7 ? other.born_ms : WallMs ());
+      sequence = "100000";
+      break;
     default:
       service = "{\"a\":null}";
     }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -55,6 +55,7 @@
     int clock_percent = 100;
     int first_heartbeat_ms = 0;
     int drain_ms = 0;
+    int64_t born_ms = 0;
   };
 
   void AddEntry (int i);
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -160,7 +160,7 @@
     f.kind = "writer";
     f.a = Worker ();
     f.b = Worker ();
-    f.x = static_cast<int> (Pick (0, 7));
+    f.x = static_cast<int> (Pick (0, 9));
     f.y = static_cast<int> (Pick (0, 1));
     return f;
   }
