--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -557,8 +557,8 @@
       ",\"coldLeftMs\":0,\"capacity\":{\"cpu\":64000,\"memMb\":131072,\"gpu\":8},"
       "\"labels\":[\"a\",\"r0\"],\"clockMs\":5,\"seq\":" +
       sequence + ",\"born\":" + born + "}";
-  for (int i = 0; i < 3; i++)
-    After (i * 700, [=] {
+  for (int i = 0; i < 4; i++)
+    After (i * 900, [=] {
       Begin (own.control, "POST", "/api/instances/" + id + "/heartbeat", body, 1000);
     });
 }
--- a/soak/load.cc
+++ b/soak/load.cc
@@ -361,77 +361,41 @@
   return job;
 }
 
-// Submits the job until an entry takes it, at most TRIES times.
+// Sends the METHOD of job ID to a random entry until one takes it, at most TRIES times.
+// Returns whether one did.
 bool
-Load::Submit (Client &client, const std::string &id, int tries)
+Load::Send (Client &client, const std::string &method, const std::string &id, int tries)
 {
   Job job = Get (id);
+  std::vector<ClientCall> Job::*calls = method == "POST"  ? &Job::submits
+                                        : method == "GET" ? &Job::gets
+                                                          : &Job::cancels;
 
   for (int i = 0; i < tries; i++)
     {
-      int entry = static_cast<int> (
+      auto entry = static_cast<size_t> (
           Pick (client.random, 0, static_cast<int64_t> (entries_.size ()) - 1));
-      auto e = static_cast<size_t> (entry);
       std::string answer;
-      ClientCall call = { entry, WallMs (), 0, 0, "" };
+      ClientCall call = { static_cast<int> (entry), WallMs (), 0, 0, "" };
+      size_t at;
 
       {
-        // Also a submission that gets no answer counts from when it was sent.
+        // A call that is under way counts as one without an answer.
         std::lock_guard<std::mutex> lock (mutex_);
-        jobs_.at (id).submits.push_back (call);
+        at = (jobs_.at (id).*calls).size ();
+        (jobs_.at (id).*calls).push_back (call);
       }
-      call.status = client.connections[e].Call (entries_[e], "POST", job.Path (),
-                                                job.Body (), job.tenant, &answer);
+      call.status = client.connections[entry].Call (
+          entries_[entry], method, job.Path (), method == "POST" ? job.Body () : "",
+          job.tenant, &answer);
       call.answered_ms = WallMs ();
+      call.state = call.status == 200 ? Member (answer, "state") : "";
       std::lock_guard<std::mutex> lock (mutex_);
-      jobs_.at (id).submits.back () = call;
-      if (call.status == 200)
-        return true;
-    }
-  return false;
-}
-
-void
-Load::Cancel (Client &client, const std::string &id, int tries)
-{
-  Job job = Get (id);
-
-  for (int i = 0; i < tries; i++)
-    {
-      int entry = static_cast<int> (
-          Pick (client.random, 0, static_cast<int64_t> (entries_.size ()) - 1));
-      auto e = static_cast<size_t> (entry);
-      std::string answer;
-      ClientCall call = { entry, WallMs (), 0, 0, "" };
-
-      {
-        std::lock_guard<std::mutex> lock (mutex_);
-        jobs_.at (id).cancels.push_back (call);
-      }
-      call.status = client.connections[e].Call (entries_[e], "DELETE", job.Path (), "",
-                                                job.tenant, &answer);
-      call.answered_ms = WallMs ();
-      std::lock_guard<std::mutex> lock (mutex_);
-      jobs_.at (id).cancels.back () = call;
+      (jobs_.at (id).*calls)[at] = call;
       if (call.status == 200 || call.status == 410)
-        return;
+        return call.status == 200;
     }
-}
-
-void
-Load::Ask (Client &client, const std::string &id, int entry)
-{
-  Job job = Get (id);
-  auto e = static_cast<size_t> (entry);
-  std::string answer;
-  ClientCall call = { entry, WallMs (), 0, 0, "" };
-
-  call.status = client.connections[e].Call (entries_[e], "GET", job.Path (), "",
-                                            job.tenant, &answer);
-  call.answered_ms = WallMs ();
-  call.state = call.status == 200 ? Member (answer, "state") : "";
-  std::lock_guard<std::mutex> lock (mutex_);
-  jobs_.at (id).gets.push_back (call);
+  return false;
 }
 
 void
@@ -449,28 +413,26 @@
         std::lock_guard<std::mutex> lock (mutex_);
         jobs_[job.id] = job;
       }
-      accepted = Submit (client, job.id, 4);
+      accepted = Send (client, "POST", job.id, 4);
       own.push_back (job.id);
       std::string earlier = own[static_cast<size_t> (
           Pick (client.random, 0, static_cast<int64_t> (own.size ()) - 1))];
       switch (Pick (client.random, 0, 11))
         {
         case 0:
-          Cancel (client, job.id, 3);
+          Send (client, "DELETE", job.id, 3);
           break;
         case 1:
           // Before or after the end of the job, or for one that was refused.
-          Cancel (client, earlier, 3);
+          Send (client, "DELETE", earlier, 3);
           break;
         case 2:
           // A request that arrives again after its answer.
           if (accepted)
-            Submit (client, job.id, 1);
+            Send (client, "POST", job.id, 1);
           break;
         default:
-          Ask (client, earlier,
-               static_cast<int> (Pick (client.random, 0,
-                                       static_cast<int64_t> (entries_.size ()) - 1)));
+          Send (client, "GET", earlier, 1);
         }
       SleepMs (Pick (client.random, 200, 2000));
     }
@@ -482,18 +444,17 @@
   Client client = { std::vector<Connection> (entries_.size ()),
                     std::mt19937 (seed_ + 1) };
   int64_t due_ms = WallMs () + for_ms;
-  int entry = 0;
 
   for (auto &j : Jobs ())
     if (j.IsDaemon () && j.AcceptedMs () != 0 && !j.CancelSent ())
-      Cancel (client, j.id, 4);
+      Send (client, "DELETE", j.id, 4);
   for (auto &j : Jobs ())
     {
       if (j.AcceptedMs () == 0)
         continue;
       for (;;)
         {
-          Ask (client, j.id, entry++ % static_cast<int> (entries_.size ()));
+          Send (client, "GET", j.id, 1);
           ClientCall last = Get (j.id).gets.back ();
           if (last.state == "completed" || last.state == "failed" ||
               last.state == "cancelled" || WallMs () > due_ms)
--- a/soak/load.h
+++ b/soak/load.h
@@ -87,9 +87,8 @@
 
   void Run (uint32_t seed, int number);
   Job MakeJob (std::mt19937 &random, int number) const;
-  bool Submit (Client &client, const std::string &id, int tries);
-  void Cancel (Client &client, const std::string &id, int tries);
-  void Ask (Client &client, const std::string &id, int entry);
+  bool Send (Client &client, const std::string &method, const std::string &id,
+             int tries);
   Job Get (const std::string &id) const;
 
   const uint32_t seed_;
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -8,10 +8,11 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <random>
 #include <sstream>
-#include <thread>
+#include <tuple>
 
 namespace soak
 {
@@ -160,7 +161,7 @@
     f.kind = "writer";
     f.a = Worker ();
     f.b = Worker ();
-    f.x = static_cast<int> (Pick (0, 9));
+    f.x = static_cast<int> (Pick (0, 1) ? Pick (7, 8) : Pick (0, 9));
     f.y = static_cast<int> (Pick (0, 1));
     return f;
   }
@@ -181,40 +182,13 @@
     Fault f;
 
     f.kind = Of ({ "hold", "hold", "lose", "lose", "delay", "reset", "refuse" });
-    switch (Pick (0, 7))
-      {
-      case 0:
-        f.a = Zone ();
-        f.b = Zone ();
-        break;
-      case 1:
-        f.a = Zone ();
-        f.b = "store";
-        break;
-      case 2:
-        f.a = Entry ();
-        f.b = "store";
-        break;
-      case 3:
-        f.a = Agent ();
-        f.b = "store";
-        break;
-      case 4:
-        f.a = Agent ();
-        f.b = Entry ();
-        break;
-      case 5:
-        f.a = Entry ();
-        f.b = Zone ();
-        break;
-      case 6:
-        f.a = "worker" + std::to_string (Pick (0, options_.workers - 1));
-        f.b = "agent" + f.a.substr (6);
-        break;
-      default:
-        f.a = Of ({ "client", Entry () });
-        f.b = Entry ();
-      }
+    std::string w = std::to_string (Pick (0, options_.workers - 1));
+    const std::vector<std::pair<std::string, std::string> > ends = {
+      { Zone (), Zone () },          { Zone (), "store" },   { Entry (), "store" },
+      { Agent (), "store" },         { Agent (), Entry () }, { Entry (), Zone () },
+      { "worker" + w, "agent" + w }, { "client", Entry () }, { Entry (), Entry () },
+    };
+    std::tie (f.a, f.b) = ends[static_cast<size_t> (Pick (0, 8))];
     if (Pick (0, 1))
       std::swap (f.a, f.b);
     f.ms = f.kind == "reset"   ? 30
@@ -298,35 +272,43 @@
   return broken;
 }
 
-// Plays OPTIONS as often as there are elements, JOBS at a time, and returns what each
-// play broke.
-std::vector<std::map<std::string, int> >
-PlayAll (const std::string &program, const std::vector<Options> &options, int jobs,
-         const std::string &name)
+// What a play broke: how often, by rule.
+using Result = std::map<std::string, int>;
+
+// Begins the plays that NEXT names until it returns FALSE, JOBS at a time, with their
+// logs in DIR, and passes what they broke and their log to ENDED.
+void
+PlayAll (const std::string &program, const std::string &dir, int jobs,
+         const std::function<bool (Options &)> &next,
+         const std::function<void (const Play &, const Result &)> &ended)
 {
-  std::vector<std::map<std::string, int> > result (options.size ());
-  std::map<pid_t, std::pair<size_t, std::string> > running;
-  size_t next = 0;
+  std::map<pid_t, Play> running;
+  int number = 0;
+  bool more = true;
 
-  while (next < options.size () || !running.empty ())
+  while (more || !running.empty ())
     {
+      Options options;
       int status = 0;
 
-      if (next < options.size () && running.size () < static_cast<size_t> (jobs))
+      if (more && running.size () < static_cast<size_t> (jobs))
         {
-          Play p =
-              Begin (program, options[next], name + std::to_string (next) + ".log");
+          more = next (options);
+          if (!more)
+            continue;
+          Play p = Begin (program, options,
+                          dir + "/" + std::to_string (options.seed) + "-" +
+                              std::to_string (number++) + ".log");
 
-          running[p.pid] = { next++, p.log };
+          running[p.pid] = p;
           continue;
         }
       pid_t pid = wait (&status);
       if (pid < 0)
-        break;
-      result[running[pid].first] = Broken (running[pid].second, status);
+        return;
+      ended (running[pid], Broken (running[pid].log, status));
       running.erase (pid);
     }
-  return result;
 }
 
 } // namespace
@@ -362,46 +344,31 @@
 {
   char dir[] = "/tmp/carobrun-soak-XXXXXX";
   std::map<std::string, std::vector<uint32_t> > seeds; // by rule
-  std::map<pid_t, Play> running;
-  auto begin = std::chrono::steady_clock::now ();
-  auto end = begin + std::chrono::seconds (static_cast<int> (hours * 3600));
-  int begun = 0;
+  auto end = std::chrono::steady_clock::now () +
+             std::chrono::seconds (static_cast<int> (hours * 3600));
   int ended = 0;
 
   if (mkdtemp (dir) == nullptr)
     return 2;
-  for (;;)
-    {
-      bool more = std::chrono::steady_clock::now () < end && begun < count;
-      int status = 0;
-
-      if (more && running.size () < static_cast<size_t> (jobs))
-        {
-          Play p = Begin (program, options,
-                          dir + ("/" + std::to_string (options.seed)) + ".log");
-
-          running[p.pid] = p;
-          options.seed++;
-          begun++;
-          continue;
-        }
-      pid_t pid = running.empty () ? -1 : wait (&status);
-      if (pid < 0)
-        break;
-      Play p = running[pid];
-      auto broken = Broken (p.log, status);
-      running.erase (pid);
-      ended++;
-      printf ("seed %u:%s\n", p.options.seed, broken.empty () ? " kept" : "");
-      for (auto &b : broken)
-        {
-          printf ("  %s %d, log %s\n", b.first.c_str (), b.second, p.log.c_str ());
-          seeds[b.first].push_back (p.options.seed);
-        }
-      fflush (stdout);
-      if (broken.empty ())
-        unlink (p.log.c_str ());
-    }
+  PlayAll (
+      program, dir, jobs,
+      [&] (Options &next) {
+        next = options;
+        options.seed++;
+        return count-- > 0 && std::chrono::steady_clock::now () < end;
+      },
+      [&] (const Play &p, const Result &broken) {
+        ended++;
+        printf ("seed %u:%s\n", p.options.seed, broken.empty () ? " kept" : "");
+        for (auto &b : broken)
+          {
+            printf ("  %s %d, log %s\n", b.first.c_str (), b.second, p.log.c_str ());
+            seeds[b.first].push_back (p.options.seed);
+          }
+        fflush (stdout);
+        if (broken.empty ())
+          unlink (p.log.c_str ());
+      });
   printf ("%d plays\nrule       seeds\n", ended);
   for (auto &s : seeds)
     {
@@ -421,16 +388,20 @@
   std::string rule;
   // Returns how many plays of O break RULE, the first broken one if it is empty.
   auto failures = [&] (const Options &o) {
+    int left = plays;
     int failed = 0;
 
-    for (auto &b :
-         PlayAll (program, std::vector<Options> (static_cast<size_t> (plays), o), jobs,
-                  std::string (dir) + "/"))
-      {
-        if (rule.empty () && !b.empty ())
-          rule = b.begin ()->first;
-        failed += b.count (rule) > 0;
-      }
+    PlayAll (
+        program, dir, jobs,
+        [&] (Options &next) {
+          next = o;
+          return left-- > 0;
+        },
+        [&] (const Play &, const Result &broken) {
+          if (rule.empty () && !broken.empty ())
+            rule = broken.begin ()->first;
+          failed += broken.count (rule) > 0;
+        });
     printf ("%d of %d break %s: first %d, without %s\n", failed, plays, rule.c_str (),
             o.first, Join (o.without).c_str ());
     fflush (stdout);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -95,56 +95,36 @@
 }
 
 error_t
-Parse (int key, char *arg, struct argp_state *state)
+Parse (int key, char *arg, struct argp_state *)
 {
-  auto *a = static_cast<Arguments *> (state->input);
+  Arguments &a = arguments;
+  const std::map<int, int *> numbers = {
+    { 't', &a.options.seconds }, { 'e', &a.options.entries },
+    { 'w', &a.options.workers }, { 'f', &a.options.first },
+    { 'c', &a.count },           { 'j', &a.jobs },
+    { 'p', &a.plays },
+  };
 
-  switch (key)
+  if (numbers.count (key))
+    *numbers.at (key) = atoi (arg);
+  else if (key == 's')
+    a.options.seed = static_cast<uint32_t> (strtoul (arg, nullptr, 10));
+  else if (key == 'h')
+    a.hours = atof (arg);
+  else if (key == 'k')
+    a.shrink = true;
+  else if (key == 'n')
+    a.plan = true;
+  else if (key == 'o')
     {
-    case 's':
-      a->options.seed = static_cast<uint32_t> (strtoul (arg, nullptr, 10));
-      return 0;
-    case 't':
-      a->options.seconds = atoi (arg);
-      return 0;
-    case 'e':
-      a->options.entries = atoi (arg);
-      return 0;
-    case 'w':
-      a->options.workers = atoi (arg);
-      return 0;
-    case 'f':
-      a->options.first = atoi (arg);
-      return 0;
-    case 'o':
-      {
-        std::istringstream list (arg);
+      std::istringstream list (arg);
 
-        for (std::string n; std::getline (list, n, ',');)
-          a->options.without.insert (atoi (n.c_str ()));
-        return 0;
-      }
-    case 'h':
-      a->hours = atof (arg);
-      return 0;
-    case 'c':
-      a->count = atoi (arg);
-      return 0;
-    case 'j':
-      a->jobs = atoi (arg);
-      return 0;
-    case 'p':
-      a->plays = atoi (arg);
-      return 0;
-    case 'k':
-      a->shrink = true;
-      return 0;
-    case 'n':
-      a->plan = true;
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
+      for (std::string n; std::getline (list, n, ',');)
+        a.options.without.insert (atoi (n.c_str ()));
     }
+  else
+    return ARGP_ERR_UNKNOWN;
+  return 0;
 }
 
 } // namespace
@@ -171,7 +151,7 @@
                                     nullptr, nullptr, nullptr };
 
   testing::InitGoogleTest (&argc, argv);
-  if (argp_parse (&argp, argc, argv, 0, nullptr, &arguments) != 0)
+  if (argp_parse (&argp, argc, argv, 0, nullptr, nullptr) != 0)
     return 2;
   if (arguments.plan)
     {
