Soak: ask the kernel for the peer of a connection

Reading /proc/net/tcp, with 20,000 sockets of other runs, took most of the relays' time and held all paths up: under AddressSanitizer no entry got ready within 45 s.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SCHEMA_PACKAGES = protobuf-c-compiler
 JOBS ?= $(shell nproc)
 OURS = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h' | grep -v pb-c)
-TESTS = $(shell git ls-files --cached --others --exclude-standard 'test/*.cc' 'test/*.h' 'soak/*.cc')
+TESTS = $(shell git ls-files --cached --others --exclude-standard 'test/*.cc' 'test/*.h' 'soak/*.cc' 'soak/*.h')
 
 all: build/release/carobrun
 
--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -631,7 +631,7 @@
       a->runner->label = arg;
       return 0;
     case 'c':
-      clock_percent = atoi (arg);
+      clock_percent = (int)g_ascii_strtoll (arg, NULL, 10);
       return 0;
     case 'D':
       a->runner->drain_ms = g_ascii_strtoll (arg, NULL, 10);
--- a/soak/proxies.cc
+++ b/soak/proxies.cc
@@ -2,14 +2,15 @@
 
 #include <dirent.h>
 #include <fcntl.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
 #include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
 #include <cstring>
-#include <fstream>
-#include <sstream>
 
 #include "test/port.h"
 
@@ -159,21 +160,47 @@
          (rule.both && IsMember (rule.from, to) && IsMember (rule.to, from));
 }
 
+// Returns the inode of the socket on loopback with these ports, 0 if there is none.
+static unsigned
+Inode (int local, int remote)
+{
+  struct
+  {
+    struct nlmsghdr head;
+    struct inet_diag_req_v2 request;
+  } query = {};
+  struct
+  {
+    struct nlmsghdr head;
+    struct inet_diag_msg message;
+    char rest[1024];
+  } reply = {};
+  int fd = socket (AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+  struct inet_diag_sockid &id = query.request.id;
+
+  query.head.nlmsg_len = sizeof query;
+  query.head.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+  query.head.nlmsg_flags = NLM_F_REQUEST;
+  query.request.sdiag_family = AF_INET;
+  query.request.sdiag_protocol = IPPROTO_TCP;
+  query.request.idiag_states = ~0U;
+  id.idiag_sport = htons (static_cast<uint16_t> (local));
+  id.idiag_dport = htons (static_cast<uint16_t> (remote));
+  id.idiag_src[0] = id.idiag_dst[0] = htonl (INADDR_LOOPBACK);
+  id.idiag_cookie[0] = id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+  if (send (fd, &query, sizeof query, 0) > 0)
+    recv (fd, &reply, sizeof reply, 0);
+  close (fd);
+  return reply.head.nlmsg_type == SOCK_DIAG_BY_FAMILY ? reply.message.idiag_inode : 0;
+}
+
 // Returns the name of the process that has connected from the port LOCAL to REMOTE.
 std::string
 Proxies::Owner (int local, int remote) const
 {
-  std::ifstream file ("/proc/net/tcp");
-  std::string table ((std::istreambuf_iterator<char> (file)),
-                     std::istreambuf_iterator<char> ());
-  char ports[40];
-  unsigned long inode = 0;
-  size_t at;
-
-  snprintf (ports, sizeof ports, "0100007F:%04X 0100007F:%04X ", local, remote);
-  at = table.find (ports);
-  if (at == std::string::npos ||
-      sscanf (table.c_str () + at, "%*s %*s %*s %*s %*s %*s %*s %*s %lu", &inode) != 1)
+  unsigned inode = Inode (local, remote);
+
+  if (inode == 0)
     return "";
   std::string wanted = "socket:[" + std::to_string (inode) + "]";
   for (auto &p : pids_)
