--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -12,6 +12,7 @@
 static const int kZones = 3;
 static const int64_t kGraceMs = 6000;
 static const int64_t kTurnMs = 5;
+static const int64_t kReadyMs = 30000;
 static const char *const kSettings = "hold_max_ms: 4000\ngrace_s: 6\n";
 
 static std::string
@@ -182,15 +183,20 @@
                         "/api/log-append?topic=keyed.op&part=0", records_[0], 1000);
 }
 
-bool
+// Returns an entry that is not ready within kReadyMs, empty when all are.
+std::string
 Site::WaitReady ()
 {
-  return Until ([&] {
-    for (auto &r : ready_)
-      if (Call (r, "GET", "/api/readiness", "", 1000).status != 200)
-        return false;
-    return true;
-  });
+  int64_t end_ms = WallMs () + kReadyMs;
+
+  for (size_t i = 0; i < ready_.size ();)
+    if (Call (ready_[i], "GET", "/api/readiness", "", 1000).status == 200)
+      i++;
+    else if (WallMs () > end_ms)
+      return Name ("entry", static_cast<int> (i));
+    else
+      Watch (100);
+  return "";
 }
 
 void
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -23,7 +23,7 @@
 public:
   explicit Site (const Options &options);
 
-  bool WaitReady ();
+  std::string WaitReady ();
   // Applies PLAN, whose times begin now, and then runs until UNTIL_MS of the wall
   // clock.
   void Play (const std::vector<Fault> &plan, int64_t until_ms);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -48,13 +48,16 @@
     printf ("%s\n", ToText (f).c_str ());
   fflush (stdout);
   Site site (arguments.options);
-  ASSERT_TRUE (site.WaitReady ());
+  ASSERT_EQ (site.WaitReady (), "") << "not ready at the start";
   Load load (arguments.options.seed, site.callers);
   load.Start (kClients);
   site.Play (plan, WallMs () + arguments.options.seconds * 1000);
   site.Repair ();
   site.Watch (100);
-  EXPECT_TRUE (site.WaitReady ()) << "not ready after the last fault";
+  std::string unready = site.WaitReady ();
+  if (!unready.empty ())
+    printf ("BROKEN READY %s\n", unready.c_str ());
+  ASSERT_EQ (unready, "") << "not ready after the last fault";
   e.calm_ms = WallMs ();
   site.Watch (kCalmLoadMs);
   load.Stop ();
