Soak: ends of gangs as the workers list them

The stand-in ends the members of a gang one by one, and the check took another member's end for its own. An end that one member's worker lists as done, once noted, now counts for the whole gang, and only such an end.

--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -113,7 +113,8 @@
                           0,
                           "",
                           0,
-                          delayed.count (task) > 0 };
+                          delayed.count (task) > 0,
+                          "" };
 
               ParseTask (run);
               run.end_ms = lives[run.life].end_ms;
@@ -123,7 +124,7 @@
           else if (ev == "run_end" && open.count (task))
             {
               runs[open[task]].end_ms = t;
-              runs[open[task]].how = TextOf (event, "how");
+              runs[open[task]].how = runs[open[task]].listed = TextOf (event, "how");
               open.erase (task);
             }
           else if (ev == "end_seen" && last.count (key))
@@ -238,6 +239,16 @@
         if (runs[b]->begin_ms < EndOf (*runs[a]))
           Break ("TWICE", runs[a]->job, Text (*runs[a]) + " while " + Text (*runs[b]));
   }
+  // Returns whether the end of A as done is one of B's task: its own, or that of
+  // another member of the gang.
+  bool
+  Represents (const Run &a, const Run &b) const
+  {
+    auto job = jobs_.find (a.job);
+
+    return a.task == b.task || (job != jobs_.end () && job->second->steps[0].gang &&
+                                a.step == b.step && a.occurrence == b.occurrence);
+  }
   // Checks that nothing starts after a noted end `done` or after all attempts failed.
   void
   CheckStartsAfterEnds (const std::vector<const Run *> &runs)
@@ -252,11 +263,13 @@
         const Run &r = *runs[a];
         bool noted = r.noted_ms != 0;
 
-        failed += noted && r.how == "failed";
+        failed += noted && r.listed == "failed";
         if (a + 1 == runs.size () || runs[a + 1]->begin_ms < EndOf (r))
           continue;
-        if (noted && r.how == "done")
-          Break ("TWICE", r.job, Text (*runs[a + 1]) + " after " + Text (r));
+        for (const Run *o : of_job_.at (r.job))
+          if (o->noted_ms != 0 && o->listed == "done" && Represents (*o, r) &&
+              o->number < runs[a + 1]->number && o->end_ms <= runs[a + 1]->begin_ms)
+            Break ("TWICE", r.job, Text (*runs[a + 1]) + " after " + Text (*o));
         if (failed >= kAttempts)
           Break ("BUDGET", r.job, Text (*runs[a + 1]) + " after all attempts failed");
       }
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -32,10 +32,11 @@
   int number;
   size_t life; // index
   int64_t begin_ms;
-  int64_t end_ms;    // of the run or of its worker's life; 0: it still runs
-  std::string how;   // empty: it still runs or ended with its worker
-  int64_t noted_ms;  // when its end was acknowledged to the worker, 0: not
-  bool late = false; // the worker carried the start out late
+  int64_t end_ms;     // of the run or of its worker's life; 0: it still runs
+  std::string how;    // empty: it still runs or ended with its worker
+  int64_t noted_ms;   // when its end was acknowledged to the worker, 0: not
+  bool late = false;  // the worker carried the start out late
+  std::string listed; // how it ended by the worker's list
 };
 
 // A time in which a fault acted on a process, or on all (`*`).
