--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -18,6 +18,7 @@
 // Bounds of the users' platform (platform/dat.h), in ms.
 static const int64_t kContactMs = 3000;
 static const int64_t kAckMs = 4000;
+static const int64_t kConfigMs = 2000;
 static const int64_t kCancelMs = 3000;
 static const int64_t kStopMs = 400;
 static const int64_t kVisibleMs = 3000;
@@ -196,6 +197,8 @@
       CheckRoom (life);
     for (auto &j : e_.jobs)
       {
+        for (auto &c : j.submits)
+          CheckVersions (j, c);
         CheckRefused (j);
         CheckStates (j);
         CheckEnd (j);
@@ -299,16 +302,46 @@
     for (int i = 0; step.gang && i < step.count; i++)
       done.insert (r.task.substr (0, r.task.rfind ('.') + 1) + std::to_string (i));
   }
-  // Returns whether no fault was near the agent of LIFE for kContactMs before TIME_MS.
+  // Returns whether no fault acted on the process NAME for kContactMs before FROM_MS,
+  // nor until TO_MS.
   bool
-  InTouch (const Life &life, int64_t time_ms) const
+  InTouch (const std::string &name, int64_t from_ms, int64_t to_ms) const
   {
     for (auto &d : e_.disturbed)
-      if ((d.name == "agent" + std::to_string (life.worker) || d.name == "*") &&
-          d.begin_ms < time_ms && d.end_ms + kContactMs > time_ms)
+      if ((d.name == name || d.name == "*") && d.begin_ms < to_ms &&
+          d.end_ms + kContactMs > from_ms)
         return false;
     return true;
   }
+  // Checks that CALL was handled as a version allows that may be in force.
+  void
+  CheckVersions (const Job &job, const ClientCall &call)
+  {
+    std::string queue = "q" + std::to_string (job.queue);
+    bool allowed = false;
+    bool missing = false;
+
+    if (!InTouch ("entry" + std::to_string (call.entry), call.sent_ms,
+                  call.answered_ms))
+      return;
+    for (size_t i = 0; i < e_.versions.size (); i++)
+      {
+        bool replaced = i + 1 < e_.versions.size () &&
+                        e_.versions[i + 1].acknowledged_ms != 0 &&
+                        e_.versions[i + 1].acknowledged_ms + kConfigMs < call.sent_ms;
+
+        if (replaced || e_.versions[i].sent_ms == 0 ||
+            e_.versions[i].sent_ms > call.answered_ms)
+          continue;
+        allowed = allowed || e_.versions[i].without != queue;
+        missing = missing || e_.versions[i].without == queue;
+      }
+    if ((call.status == 200 && !allowed) || (call.status == 404 && !missing))
+      Break ("CONFIG", job.id,
+             "entry" + std::to_string (call.entry) + " answers " +
+                 std::to_string (call.status) + " for " + queue + " at " +
+                 std::to_string (call.answered_ms));
+  }
   void
   CheckStart (const Run &r)
   {
@@ -338,7 +371,8 @@
     if (step.max_per_worker > 0 && same > step.max_per_worker)
       Break ("ROUTE", r.job, Text (r) + " beyond the limit for each worker");
     if (life.drain_seen_ms != 0 && !r.late &&
-        r.begin_ms > life.drain_seen_ms + kDrainMs && InTouch (life, r.begin_ms))
+        r.begin_ms > life.drain_seen_ms + kDrainMs &&
+        InTouch ("agent" + std::to_string (life.worker), r.begin_ms, r.begin_ms))
       Break ("DRAIN", r.job, Text (r) + " on a worker that leaves");
     if (job.CanceledMs () != 0 && !r.late && r.begin_ms > e_.calm_ms + kContactMs &&
         r.begin_ms > job.CanceledMs () + kCancelMs)
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -47,8 +47,17 @@
   int64_t end_ms;
 };
 
+// A version of the configuration.
+struct Version
+{
+  std::string without; // the queue that it lacks
+  int64_t sent_ms;
+  int64_t acknowledged_ms; // by the store; 0: not yet
+};
+
 struct Evidence
 {
+  std::vector<Version> versions;
   std::vector<Disturbance> disturbed;
   std::vector<Job> jobs;
   std::vector<Life> lives;
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -143,7 +143,8 @@
 void
 Site::Publish (const std::string &without)
 {
-  std::string text = "{\"version\":" + std::to_string (++version_) + ",\"routes\":[";
+  std::string text =
+      "{\"version\":" + std::to_string (versions.size () + 1) + ",\"routes\":[";
   std::string record;
   bool first = true;
 
@@ -169,6 +170,7 @@
     record.insert (record.begin (),
                    static_cast<char> ((6 + 1 + text.size ()) >> shift));
   records_.push_back (record);
+  versions.push_back ({ without, 0, 0 });
   PublishNext ();
 }
 
@@ -179,6 +181,9 @@
 {
   if (publishing_ != nullptr || records_.empty ())
     return;
+  Version &version = versions[versions.size () - records_.size ()];
+  if (version.sent_ms == 0)
+    version.sent_ms = WallMs ();
   publishing_ = &Begin (listening_store_, "POST",
                         "/api/log-append?topic=keyed.op&part=0", records_[0], 1000);
 }
@@ -254,7 +259,10 @@
   if (publishing_ != nullptr && publishing_->done)
     {
       if (publishing_->status == 200)
-        records_.erase (records_.begin ());
+        {
+          versions[versions.size () - records_.size ()].acknowledged_ms = WallMs ();
+          records_.erase (records_.begin ());
+        }
       publishing_ = nullptr;
       PublishNext ();
     }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -35,6 +35,7 @@
   std::vector<std::string> callers; // addresses of the entries for clients
   std::vector<Life> lives;          // of workers
   std::vector<Disturbance> disturbed;
+  std::vector<Version> versions;     // of the configuration
   std::vector<std::string> own_ends; // processes that ended by themselves
 
 private:
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -75,6 +75,7 @@
   e.jobs = load.Jobs ();
   e.lives = site.lives;
   e.disturbed = site.disturbed;
+  e.versions = site.versions;
   e.runs = ReadRuns (site.Dir (), arguments.options.workers, e.lives);
   size_t accepted = 0;
   for (auto &j : e.jobs)
