--- a/fakes/runner.c
+++ b/fakes/runner.c
@@ -5,15 +5,16 @@
    runs end as `lapsed` when the lease of the worker expires.
    The trace has `run_start` and `run_end` for each run of a task, and `end_seen` when
    the end of a run was acknowledged and the lease has not expired since that end.
-   On SIGTERM it reports the state "draining", and exits after DRAIN_MS.
+   On SIGTERM it reports the state "draining", and exits after DRAIN_MS or the time of
+   --drain. The trace has `drain_seen` when its agent has acknowledged that.
    With --announce its heartbeats name another address than the one it listens on.
    Fault modes: `silent`: calls get no reply and have no effect. `odd_end`: lists show
    the oldest end with a value that cannot be read. `late`: starts get no reply and are
-   carried out LATE_MS later, unless they would be refused by then. `later`: the same,
-   LATER_MS later. `room`: starts of runs that are not here are refused for want of
-   room. `accepted`: starts are answered as if they had been carried out, and have no
-   effect. `unanswered`: starts get no reply and have no effect. `mute`: starts get no
-   reply and are carried out.
+   carried out LATE_MS or the control call's `delay_ms` later, unless they would be
+   refused by then. `later`: the same, LATER_MS later. `room`: starts of runs that are
+   not here are refused for want of room. `accepted`: starts are answered as if they had
+   been carried out, and have no effect. `unanswered`: starts get no reply and have no
+   effect. `mute`: starts get no reply and are carried out.
    `draining`: heartbeats report the state "draining". `forget`: a run is no more,
    without an end. `lose_end`: the next end of a run is numbered and not listed.
    `busy`: starts are answered with 503. `odd_how`: a run ends in a way that no client
@@ -34,7 +35,10 @@
 /* Capacity that the worker reports. */
 #define CPU_MILLI 64000
 #define MEMORY_MB 131072
-/* Time between SIGTERM and the exit. */
+/* Longest lease, as hold_max_ms in the settings of the tests' agents and entries. A
+   longer one, such as that of a call for an earlier process, is shortened. */
+#define HOLD_MAX_MS 4000
+/* Default time between SIGTERM and the exit. */
 #define DRAIN_MS 2500
 /* Delay of a start in the fault mode `late`: more than a call may take, so that the
    caller repeats it before. */
@@ -48,6 +52,7 @@
 {
   char *task;
   uint32_t run; /* number of this run of the task */
+  cb_msec_t start_ms;
   cb_msec_t end_ms;
   gboolean fails; /* spec `fail` */
   gboolean fills; /* spec `fill` */
@@ -82,13 +87,15 @@
 typedef struct
 {
   cb_fake_t fake;
-  const char *listen;
   const char *announced; /* address in the heartbeats */
+  const char *zone;
+  const char *label; /* its kind */
   const char *agent;
   const char *id;
   const char *service;
   const char *rack;
   int accelerators;
+  gboolean shows_progress;
   gboolean tickets;             /* starts need a ticket of the advisor */
   cb_msec_t first_heartbeat_ms; /* from the start of this process to its first one */
   cb_msec_t start_wall_ms;      /* start of this process, in ms of the wall clock */
@@ -103,8 +110,14 @@
   GHashTable *highest;   /* task -> highest run that ended or was stopped */
   uint64_t last_number;  /* number of the last end */
   cb_msec_t draining_ms; /* time of SIGTERM; 0: not draining */
+  cb_msec_t drain_ms;    /* from then to its exit */
+  gboolean says_leave;   /* it posts `leave` then */
+  gboolean left;
 } runner_t;
 
+/* Speed of the worker's clock. */
+static int clock_percent = 100;
+
 /* Returns the worker's clock, in ms. It starts with the process, at 1. */
 static cb_msec_t
 now (void)
@@ -112,8 +125,8 @@
   static cb_msec_t start_ms;
 
   if (start_ms == 0)
-    start_ms = cb_clock_now (cb_clock_system ()) - 1;
-  return cb_clock_now (cb_clock_system ()) - start_ms;
+    start_ms = cb_clock_now (cb_clock_system ());
+  return 1 + (cb_clock_now (cb_clock_system ()) - start_ms) * clock_percent / 100;
 }
 
 static json_int_t
@@ -187,6 +200,15 @@
   return (int)latency;
 }
 
+/* Returns the progress that lists show: constant unless the worker shows progress. */
+static int
+percent_done (const runner_t *r, const run_t *run)
+{
+  if (!r->shows_progress)
+    return 50;
+  return (int)(100 * (now () - run->start_ms) / MAX (1, run->end_ms - run->start_ms));
+}
+
 /* Returns the reply to a long poll: the running tasks, and the oldest ends that have
    not been acknowledged. */
 static json_t *
@@ -200,9 +222,9 @@
     {
       const run_t *run = l->data;
 
-      json_array_append_new (running,
-                             json_pack ("[s,i,s,i,i]", odd_run ? "" : run->task,
-                                        run->run, "", 50, latency_ms (r)));
+      json_array_append_new (
+          running, json_pack ("[s,i,s,i,i]", odd_run ? "" : run->task, run->run, "",
+                              percent_done (r, run), latency_ms (r)));
     }
   for (GList *l = r->ends.head; l != NULL && json_array_size (ended) < ENDS_LISTED_MAX;
        l = l->next)
@@ -282,7 +304,8 @@
   run->fails = strncmp (spec, "fail", 4) == 0;
   run->fills = strncmp (spec, "fill", 4) == 0;
   run->pace = 100;
-  run->end_ms = now () + g_ascii_strtoll (strchr (spec, ' ') + 1, NULL, 10);
+  run->start_ms = now ();
+  run->end_ms = run->start_ms + g_ascii_strtoll (strchr (spec, ' ') + 1, NULL, 10);
   g_queue_push_tail (&r->runs, run);
   cb_fake_event (&r->fake, "run_start", "\"task\":\"%s\",\"run\":%u", task, run_number);
   return NULL;
@@ -313,7 +336,7 @@
       late_start_t *late = g_new0 (late_start_t, 1);
 
       late->body = json_incref (body);
-      late->due_ms = now () + late_ms;
+      late->due_ms = now () + (r->fake.delay_ms > 0 ? r->fake.delay_ms : late_ms);
       g_queue_push_tail (&r->late_starts, late);
       cb_fake_event (&r->fake, "start_delayed", "\"task\":\"%s\"",
                      json_string_value (json_object_get (body, "task")));
@@ -433,7 +456,18 @@
   else
     {
       r->fencing_token = (uint64_t)integer_member (body, "fencingToken");
-      r->lease_end_ms = MAX (r->lease_end_ms, integer_member (body, "deadlineMs"));
+      cb_msec_t deadline_ms =
+          MIN (integer_member (body, "deadlineMs"), now () + HOLD_MAX_MS);
+
+      if (deadline_ms > r->lease_end_ms)
+        {
+          r->lease_end_ms = deadline_ms;
+          cb_fake_event (&r->fake, "lease",
+                         "\"clock_ms\":%" G_GINT64_FORMAT
+                         ",\"deadline_ms\":%" G_GINT64_FORMAT
+                         ",\"token\":%" G_GUINT64_FORMAT,
+                         now (), r->lease_end_ms, r->fencing_token);
+        }
       if (strcmp (path, "/api/run-start") == 0)
         on_start (r, req, body);
       else if (strcmp (path, "/api/run-stop") == 0)
@@ -456,19 +490,32 @@
   (void)len;
 }
 
+/* Notes that the agent has acknowledged that the worker leaves. */
+static void
+on_drain_sent (void *ctx, int err, int status, const char *body, size_t len)
+{
+  const runner_t *r = ctx;
+
+  (void)body;
+  (void)len;
+  if (err >= 0 && status / 100 == 2)
+    cb_fake_event (&r->fake, "drain_seen", "\"after_ms\":%" G_GINT64_FORMAT,
+                   now () - r->draining_ms);
+}
+
 /* Posts the state of the worker to /api/instances/ID/RESOURCE of its agent. */
 static void
 send_state (runner_t *r, const char *resource)
 {
   char *path = g_strdup_printf ("/api/instances/%s/%s", r->id, resource);
   gboolean draining = r->draining_ms != 0 || cb_fake_mode_active (&r->fake, "draining");
-  json_t *body =
-      json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
-                 "service", r->service, "address", r->announced, "zone", "z", "version",
-                 "v1", "slots", 8, "state", draining ? "draining" : "ready", "capacity",
-                 "cpu", CPU_MILLI, "memMb", MEMORY_MB, "gpu", r->accelerators, "labels",
-                 "a", r->rack, "clockMs", (json_int_t)now (), "seq",
-                 (json_int_t)++r->sequence, "born", (json_int_t)r->start_wall_ms);
+  json_t *body = json_pack (
+      "{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}", "service",
+      r->service, "address", r->announced, "zone", r->zone, "version", "v1", "slots", 8,
+      "state", draining ? "draining" : "ready", "capacity", "cpu", CPU_MILLI, "memMb",
+      MEMORY_MB, "gpu", r->accelerators, "labels", r->label, r->rack, "clockMs",
+      (json_int_t)now (), "seq", (json_int_t)++r->sequence, "born",
+      (json_int_t)r->start_wall_ms);
   char *text = json_dumps (body, JSON_COMPACT);
   cb_http_spec_t spec = { .address = r->agent,
                           .method = "POST",
@@ -478,7 +525,7 @@
                           .body_len = strlen (text),
                           .timeout_ms = HEARTBEAT_TIMEOUT_MS };
 
-  cb_http_call (r->fake.loop, &spec, on_sent, NULL);
+  cb_http_call (r->fake.loop, &spec, r->draining_ms != 0 ? on_drain_sent : on_sent, r);
   json_decref (body);
   free (text);
   g_free (path);
@@ -536,12 +583,16 @@
         }
       link = next;
     }
-  if (r->draining_ms != 0 && now () - r->draining_ms > DRAIN_MS)
+  if (r->draining_ms != 0 && now () - r->draining_ms > r->drain_ms && !r->left)
     {
       while (r->runs.head != NULL)
         end_run (r, r->runs.head->data, "stopped");
-      cb_loop_stop (r->fake.loop);
+      if (r->says_leave)
+        send_state (r, "leave");
+      r->left = TRUE;
     }
+  else if (r->left)
+    cb_loop_stop (r->fake.loop);
 }
 
 static void
@@ -580,12 +631,28 @@
     case 'r':
       a->runner->rack = arg;
       return 0;
+    case 'A':
+      a->runner->announced = arg;
+      return 0;
+    case 'z':
+      a->runner->zone = arg;
+      return 0;
+    case 'L':
+      a->runner->label = arg;
+      return 0;
+    case 'c':
+      clock_percent = (int)g_ascii_strtoll (arg, NULL, 10);
+      return 0;
+    case 'D':
+      a->runner->drain_ms = g_ascii_strtoll (arg, NULL, 10);
+      a->runner->says_leave = TRUE;
+      return 0;
+    case 'p':
+      a->runner->shows_progress = TRUE;
+      return 0;
     case 'k':
       a->runner->tickets = TRUE;
       return 0;
-    case 'n':
-      a->runner->announced = arg;
-      return 0;
     case 'f':
       a->runner->first_heartbeat_ms = g_ascii_strtoll (arg, NULL, 10);
       return 0;
@@ -605,8 +672,15 @@
     { "agent", 'a', "ADDRESS", 0, "control address of the agent (host:port)", 0 },
     { "id", 'i', "NAME", 0, "name of the worker", 0 },
     { "rack", 'r', "NAME", 0, "rack of the worker (r1)", 0 },
+    { "announce", 'A', "ADDRESS", 0, "address in the heartbeats (that of --listen)",
+      0 },
+    { "zone", 'z', "NAME", 0, "availability zone (z)", 0 },
+    { "label", 'L', "NAME", 0, "kind of the worker (a)", 0 },
+    { "clock", 'c', "PERCENT", 0, "speed of the worker's clock (100)", 0 },
+    { "drain", 'D', "MS", 0, "time from SIGTERM to `leave` and the exit (no `leave`)",
+      0 },
+    { "progress", 'p', NULL, 0, "show how much of each run is done", 0 },
     { "tickets", 'k', NULL, 0, "refuse starts without a ticket of the advisor", 0 },
-    { "announce", 'n', "ADDRESS", 0, "address in heartbeats (that of --listen)", 0 },
     { "first-heartbeat", 'f', "MS", 0, "delay of the first heartbeat (0)", 0 },
     { 0 },
   };
@@ -615,7 +689,14 @@
                                     .parser = parse,
                                     .children = children,
                                     .doc = "Stand-in for a worker of the platform." };
-  runner_t r = { .service = "svc", .rack = "r1", .accelerators = 8 };
+  runner_t r = {
+    .service = "svc",
+    .zone = "z",
+    .label = "a",
+    .rack = "r1",
+    .accelerators = 8,
+    .drain_ms = DRAIN_MS,
+  };
   arguments_t arguments = { .runner = &r,
                             .params = { .role = "runner",
                                         .trace_file = "",
@@ -626,9 +707,8 @@
   if (argp_parse (&argp, argc, argv, 0, NULL, &arguments) != 0 ||
       cb_fake_open (&r.fake, &arguments.params) < 0)
     return 2;
-  r.listen = arguments.params.listen;
   if (r.announced == NULL)
-    r.announced = r.listen;
+    r.announced = arguments.params.listen;
   r.start_wall_ms = cb_clock_wall (cb_clock_system ());
   r.highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&r.runs);
