Count the time of a suspension in the product's own leases

What callers would see: members of a gang that run on after the gang was stopped and started elsewhere.

Cause: cb_clock_now read CLOCK_MONOTONIC, which does not count the time in which an instance is suspended. All leases of the product's own path are measured on it: an agent that was suspended for longer than the gang lease took its latest decision for a recent one and renewed the worker's leases for up to another lease. Only the processes of the users' platform used CLOCK_BOOTTIME.

Change: cb_clock_now reads CLOCK_BOOTTIME, and cb_batch_now_ms is the same clock. The first turn after a suspension now finds the lease over, as after a pause by a signal, which CLOCK_MONOTONIC counts. Timers and the timeouts of calls count the suspension, too: the loop still handles sockets that are readable before it runs due timers.

Clock.CountsTheTimeOfASuspension replaces clock_gettime, as nothing here can suspend the machine. It failed before. base_test, net_test, gang_test, gang_link_test and platform_lease_test pass (arm64, sanitizer).

--- a/base/clock.c
+++ b/base/clock.c
@@ -15,7 +15,7 @@
 system_now_ms (cb_clock_t *clock)
 {
   (void)clock;
-  return read_clock (CLOCK_MONOTONIC);
+  return read_clock (CLOCK_BOOTTIME);
 }
 
 static cb_msec_t
@@ -59,7 +59,9 @@
   clock->set_ms += by_ms;
 }
 
-/* Returns monotonic time in ms; only differences are meaningful. */
+/* Returns monotonic time in ms; only differences are meaningful. The system's clock
+   counts the time in which the instance is suspended: leases of other processes expire
+   during that time, too. */
 cb_msec_t
 cb_clock_now (cb_clock_t *clock)
 {
--- a/cmd/batch_process.c
+++ b/cmd/batch_process.c
@@ -5,7 +5,6 @@
 #include <argp.h>
 #include <signal.h>
 #include <string.h>
-#include <time.h>
 
 /* Global, as the signal handler sets them. */
 static volatile sig_atomic_t term_requested;
@@ -23,15 +22,11 @@
     term_requested = 1;
 }
 
-/* Returns the time since boot, including the time in which the instance was suspended:
-   leases of other processes expire during that time, too. */
+/* Returns the time since boot, see cb_clock_now. */
 cb_msec_t
 cb_batch_now_ms (void)
 {
-  struct timespec ts;
-
-  clock_gettime (CLOCK_BOOTTIME, &ts);
-  return (cb_msec_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  return cb_clock_now (cb_clock_system ());
 }
 
 /* Returns TRUE once SIGTERM or SIGINT has arrived. */
--- a/test/base_test.cc
+++ b/test/base_test.cc
@@ -1,13 +1,43 @@
-// Guards the text of counters and histograms that monitoring reads.
+// Guards the text of counters and histograms that monitoring reads, and the clock that
+// leases are measured on.
 #include <gtest/gtest.h>
 
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
 #include <string>
 
 #include "base/fns.h"
 
+static time_t suspended_s; // how long the instance has been suspended
+
+// Takes the place of the C library's function: of the clocks of Linux, CLOCK_MONOTONIC
+// does not count the time in which the instance is suspended.
+extern "C" int
+clock_gettime (clockid_t id, struct timespec *ts)
+{
+  int rc = static_cast<int> (syscall (SYS_clock_gettime, id, ts));
+
+  if (id != CLOCK_MONOTONIC)
+    ts->tv_sec += suspended_s;
+  return rc;
+}
+
 namespace
 {
 
+// Guards against leases that seem to last when the instance was suspended, while the
+// others have seen them expire.
+TEST (Clock, CountsTheTimeOfASuspension)
+{
+  cb_msec_t before_ms = cb_clock_now (cb_clock_system ());
+
+  suspended_s = 60;
+  EXPECT_GE (cb_clock_now (cb_clock_system ()), before_ms + 60000);
+  suspended_s = 0;
+}
+
 // A duration equal to a bucket's bound counts in that bucket and in all larger ones. A
 // negative duration, as after a clock was set back, counts as 0 and must not wrap
 // around to a huge sum.
