Do not take a draining worker as ended because another has its address

Cause: the same as for a refused connection. Another worker at the address shows that the socket is closed; a worker that has stated that it will end may close it before it ends its runs.

Change: one function decides for all signs of a closed socket, at the agent; the scheduler leaves draining workers out of its proof by address. A worker that has stated nothing has crashed, as before. The end of the lease on the agent's clock is not computed from a worker's clock that is not known yet (found by the review, no test fails without it).

--- a/batch/report.c
+++ b/batch/report.c
@@ -128,7 +128,8 @@
 
 /* Marks the other incarnations of AGENT's workers that received calls at the address at
    which W has just responded, and which started before W: two processes cannot listen
-   there, so theirs have ended.
+   there, so theirs have ended, except that one that drains may have closed its socket
+   before it ends its runs.
    Their addresses may be known from the log alone, but then they were there before this
    scheduler's epoch, under which W has responded. The caller makes sure that W was not
    taken as ended before, as its report may then be a late one. The reports of different
@@ -143,9 +144,9 @@
     {
       worker_t *other = workers->pdata[i];
 
-      if (other != w && !other->ended && other->incarnation_ms != 0 &&
-          other->incarnation_ms < w->incarnation_ms && other->address[0] != '\0' &&
-          strcmp (other->address, w->address) == 0)
+      if (other != w && !other->ended && !other->draining &&
+          other->incarnation_ms != 0 && other->incarnation_ms < w->incarnation_ms &&
+          other->address[0] != '\0' && strcmp (other->address, w->address) == 0)
         mark_ended (b, other, "address_taken");
     }
 }
--- a/cmd/batch_agent.h
+++ b/cmd/batch_agent.h
@@ -125,8 +125,7 @@
 void cb_batch_agent_forget_worker (cb_batch_agent_t *agent, const char *reason);
 GPtrArray *cb_batch_agent_ended_workers_new (void);
 void cb_batch_agent_drop_ended_worker (cb_batch_agent_t *agent, const char *worker);
-void cb_batch_agent_forget_ended_worker (cb_batch_agent_t *agent, const char *reason);
-void cb_batch_agent_forget_left_worker (cb_batch_agent_t *agent, const char *reason);
+void cb_batch_agent_forget_closed_worker (cb_batch_agent_t *agent, const char *reason);
 
 /* batch_agent_unread.c */
 void cb_batch_agent_unread_init (cb_batch_agent_t *agent);
--- a/cmd/batch_agent_heartbeat.c
+++ b/cmd/batch_agent_heartbeat.c
@@ -74,7 +74,7 @@
     {
       if (strcmp (report->worker, worker) != 0 &&
           g_strcmp0 (agent->worker_address, address) == 0)
-        cb_batch_agent_forget_ended_worker (agent, "address_taken");
+        cb_batch_agent_forget_closed_worker (agent, "address_taken");
       else
         cb_batch_agent_forget_worker (agent, "another_announced");
       cb_batch_agent_drop_ended_worker (agent, worker);
@@ -181,18 +181,9 @@
   free_announcement (a);
 }
 
-/* TRUE when the present worker has stated that it will end. */
-static gboolean
-is_ending (const cb_batch_agent_t *agent)
-{
-  return agent->report->draining || agent->leaving;
-}
-
 /* The present worker's reply while another one is announced. An instance has one
    worker: unless the present one has ended or is about to, or sends no heartbeats here
-   and so is that of another instance, another writer has announced the other. A worker
-   that refuses connections has ended, unless it has stated that it will: then it may
-   have closed its socket before it ends its runs. */
+   and so is that of another instance, another writer has announced the other. */
 static void
 on_present_lists (void *ctx, int err, const Cb__WorkerReport *lists)
 {
@@ -215,10 +206,8 @@
                         born_ms);
       return;
     }
-  if (err == CB_PLATFORM_ABSENT && is_ending (agent))
-    cb_batch_agent_forget_left_worker (agent, "left");
-  else if (gone)
-    cb_batch_agent_forget_ended_worker (agent, "replaced");
+  if (gone)
+    cb_batch_agent_forget_closed_worker (agent, "replaced");
   use_announced (a);
 }
 
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -523,7 +523,7 @@
   uint64_t clock_ms = agent->report->clock_ms;
 
   agent->lease_until_ms = MAX (agent->lease_until_ms, until_ms);
-  if (until_ms > clock_ms)
+  if (clock_ms != 0 && until_ms > clock_ms)
     agent->lease_end_ms = MAX (
         agent->lease_end_ms, agent->lists_asked_ms + (cb_msec_t)(until_ms - clock_ms));
 }
--- a/cmd/batch_agent_worker.c
+++ b/cmd/batch_agent_worker.c
@@ -187,6 +187,7 @@
   agent->report = cb_msg_new (&cb__worker_report__descriptor);
   agent->lease_until_ms = 0;
   agent->lease_end_ms = 0;
+  agent->lists_asked_ms = 0;
   agent->confirmed_ms = 0;
   agent->last_durable_end = 0;
   agent->acknowledged_end = 0;
@@ -201,25 +202,22 @@
   cb_batch_agent_drop_commands (agent);
 }
 
-/* As cb_batch_agent_forget_worker, for a worker whose process is known to have ended:
-   tells the scheduler, which need not wait for the end of its lease, and states it in
-   the reports from then on, as the scheduler may be replaced before it acts. */
+/* As cb_batch_agent_forget_worker, for a worker that accepts no calls any more: tells
+   the scheduler, which gives it no more work. Its process has ended, so that nobody
+   need wait for the end of its lease, unless the worker has stated that it will end:
+   then it may have closed its socket before it ends its runs. That a process has ended
+   is stated in the reports from then on, as the scheduler may be replaced before it
+   acts. */
 void
-cb_batch_agent_forget_ended_worker (cb_batch_agent_t *agent, const char *reason)
+cb_batch_agent_forget_closed_worker (cb_batch_agent_t *agent, const char *reason)
 {
-  keep_ended_worker (agent);
-  cb_batch_agent_forget_left_worker (agent, reason);
-}
+  gboolean ending = agent->report->draining || agent->leaving;
 
-/* As cb_batch_agent_forget_worker, for a worker that has announced its end and accepts
-   no connections any more: tells the scheduler, which gives it no more work. Its runs
-   may go on until its process has ended, or until the end of its lease. */
-void
-cb_batch_agent_forget_left_worker (cb_batch_agent_t *agent, const char *reason)
-{
+  if (!ending)
+    keep_ended_worker (agent);
   agent->report->left = TRUE;
   cb_batch_agent_send_report (agent);
-  cb_batch_agent_forget_worker (agent, reason);
+  cb_batch_agent_forget_worker (agent, ending ? "left" : reason);
 }
 
 /* Returns the number of the newest end in LISTS; 0: there is none. */
@@ -368,10 +366,9 @@
       cb_event_unlimited (CB_LOG_WARN, "agent", "fenced", "epoch=%" PRIu64,
                           poll->epoch);
     }
-  else if (err == CB_PLATFORM_REPLACED && current)
-    cb_batch_agent_forget_ended_worker (agent, "replaced");
-  else if (err == CB_PLATFORM_ABSENT && agent->leaving && current)
-    cb_batch_agent_forget_left_worker (agent, "left");
+  else if (current && (err == CB_PLATFORM_REPLACED ||
+                       (err == CB_PLATFORM_ABSENT && agent->leaving)))
+    cb_batch_agent_forget_closed_worker (agent, "replaced");
   if ((err < 0) != agent->worker_unreachable)
     cb_event_unlimited (CB_LOG_INFO, "agent",
                         err < 0 ? "worker_unreachable" : "worker_reached",
--- a/test/platform_lease_test.cc
+++ b/test/platform_lease_test.cc
@@ -45,7 +45,7 @@
   bool
   Run ()
   {
-    std::string relay = FreeAddress ();
+    const std::string &relay = relay_;
 
     Kill ("runner0");
     Kill ("runner1");
@@ -64,11 +64,34 @@
              Logged ("agent1", "event=worker_found worker=w1");
     });
   }
+  // Closes the address at which the agent reaches worker 0, which runs on, and starts
+  // another worker there.
+  void
+  ReplaceAtItsAddress ()
+  {
+    Kill ("relay");
+    Start ("runner9", "carobrun-fake-runner",
+           { "--listen", relay_, "--agent", controls[0], "--id", "w9", "--rack", "r0",
+             "--trace", dir_ + "/runner9.trace" });
+  }
+  // Returns when the task started on another worker, in ms.
+  std::vector<int64_t>
+  SecondStarts ()
+  {
+    std::vector<int64_t> starts_ms = EventTimes ("runner1", "run_start", Id (1));
+
+    for (int64_t at_ms : EventTimes ("runner9", "run_start", Id (1)))
+      starts_ms.push_back (at_ms);
+    return starts_ms;
+  }
   site::Reply
   Leave ()
   {
     return Call (controls[0], "POST", "/api/instances/w0/leave", "", 2000);
   }
+
+private:
+  std::string relay_ = FreeAddress ();
 };
 
 // Guards against two runs of a task at once: a worker that leaves closes its socket
@@ -86,6 +109,21 @@
   site.CheckRuns ();
 }
 
+// Guards against the same when another worker takes the address of the one that drains.
+TEST (PlatformLease, WorkerThatDrainsMayStillRunItsTasksWhenAnotherTakesItsAddress)
+{
+  DrainingWorkerSite site;
+
+  ASSERT_TRUE (site.Run ());
+  site.ReplaceAtItsAddress ();
+  ASSERT_TRUE (site.Until (
+      [&] { return site.Logged ("agent0", "event=worker_found worker=w9"); }));
+  ASSERT_TRUE (site.Until ([&] { return !site.SecondStarts ().empty (); }));
+  std::vector<int64_t> ends_ms = site.EventTimes ("runner0", "run_end", site.Id (1));
+  ASSERT_EQ (ends_ms.size (), 1u);
+  EXPECT_GE (site.SecondStarts ()[0], ends_ms[0]);
+}
+
 // Guards against tasks that wait for the lease of a worker that leaves, with the
 // progress that they have made since their last checkpoint lost.
 TEST (PlatformLease, RunsOfAWorkerThatLeavesAreStoppedBeforeItsNoticeIsAnswered)
