--- a/test/platform_worker_test.cc
+++ b/test/platform_worker_test.cc
@@ -240,6 +240,8 @@
   PlatformSite site (1, 1);
 
   ASSERT_TRUE (site.Up ());
+  ASSERT_TRUE (
+      site.Until ([&] { return site.Logged ("agent0", "event=worker_found"); }));
   site.Control (site.runners[0], "{\"mode\":\"odd_end\"}");
   EXPECT_EQ (site.Submit (0, 1, 1, site.Job (1, 1, "run 200")).status, 200);
   EXPECT_EQ (site.Submit (0, 2, 1, site.Job (1, 1, "run 600")).status, 200);
