Count a reply of the log that was cut as no proof that there is no claim

A scheduler grants leases for 4 s after its last read of the log. A reply that was cut at its size counted as such a read, although a claim may follow in the rest. The lease span is computed in one place now, which the agent uses as well.

--- a/batch/fns.h
+++ b/batch/fns.h
@@ -47,6 +47,9 @@
 void cb_batch_apply (cb_batch_t *batch, uint64_t offset, const Cb__BatchRecord *record,
                      cb_msec_t now_ms, cb_msec_t wall_ms);
 
+/* leases.c */
+cb_msec_t cb_batch_lease_span_ms (cb_msec_t hold_max_ms);
+
 /* epochs.c: used by the scheduler only. */
 uint64_t cb_batch_command_epoch (const cb_batch_t *batch, const char *agent);
 gboolean cb_batch_is_command_epoch (const cb_batch_t *batch, const char *agent,
--- a/batch/leases.c
+++ b/batch/leases.c
@@ -34,13 +34,20 @@
 /* It gets no new work for this long. */
 #define UNANSWERED_QUARANTINE_MS 16000
 
+/* Returns after which time in ms a lease has expired even if the worker's clock is
+   slow. HOLD_MAX_MS: the longest lease, on that clock. */
+cb_msec_t
+cb_batch_lease_span_ms (cb_msec_t hold_max_ms)
+{
+  return (cb_msec_t)((double)hold_max_ms * LEASE_SLACK) + LEASE_MARGIN_MS;
+}
+
 /* Returns the local time in ms at which a lease granted at GRANTED_MS has expired even
    if the worker's clock is slow. */
 cb_msec_t
 latest_lease_end (const cb_batch_t *b, cb_msec_t granted_ms)
 {
-  return granted_ms + (cb_msec_t)((double)b->params.hold_max_ms * LEASE_SLACK) +
-         LEASE_MARGIN_MS;
+  return granted_ms + cb_batch_lease_span_ms (b->params.hold_max_ms);
 }
 
 /* Notes that the present scheduler's process grants no leases from NOW_MS on, as it has
--- a/cmd/batch_agent_orders.c
+++ b/cmd/batch_agent_orders.c
@@ -14,11 +14,6 @@
 /* A start that the worker has not accepted for this long is not repeated any more: the
    task may start elsewhere. */
 #define START_ACCEPTED_MS 2000
-/* A start names the end of its lease, at most hold_max_ms after it was sent by the
-   worker's clock, which is up to 2% slow. After this time the worker refuses it. */
-#define LEASE_SLACK 1.025
-#define LEASE_MARGIN_MS 300
-
 typedef enum
 {
   COMMAND_OPEN,     /* has to be sent, or sent again */
@@ -139,15 +134,16 @@
 }
 
 /* TRUE when no call for the start COMMAND can be executed any more, once the worker has
-   refused the latest one: no earlier one may have been left without a reply. */
+   refused the latest one: no earlier one may have been left without a reply, or the
+   lease that it names has ended by now. */
 static gboolean
 is_refused_for_good (const cb_batch_agent_t *agent, const command_t *command)
 {
-  double hold_ms = agent->settings->hold_max_ms;
+  cb_msec_t hold_ms = (cb_msec_t)agent->settings->hold_max_ms;
 
   return !command->unanswered && hold_ms > 0 &&
          cb_batch_now_ms () - agent->unresolved_start_ms >
-             (cb_msec_t)(hold_ms * LEASE_SLACK) + LEASE_MARGIN_MS;
+             cb_batch_lease_span_ms (hold_ms);
 }
 
 /* Adds the start COMMAND to the rejected ones of REPORT. */
--- a/cmd/batch_log.c
+++ b/cmd/batch_log.c
@@ -271,7 +271,9 @@
     }
   entry->healthy = TRUE;
   cb_outage_note_answer (&entry->outage, cb_batch_now_ms ());
-  entry->last_read_ms = sent_ms;
+  /* A reply that was cut at its size does not show that there is no newer claim. */
+  if (entry->next_offset + count >= next)
+    entry->last_read_ms = sent_ms;
   entry->applied_until_ms = MIN (sent_ms + wait_ms, cb_batch_now_ms ());
   for (size_t i = 0; i < count; i++)
     apply_record_batch (entry, &records[i]);
