--- a/test/platform_worker_test.cc
+++ b/test/platform_worker_test.cc
@@ -50,8 +50,12 @@
   ASSERT_TRUE (site.Up ());
   EXPECT_EQ (site.Submit (0, 1, 0, site.Job (1, 1, "run 100")).status, 200);
   ASSERT_TRUE (site.Until ([&] { return site.State (0, 1, 0) == "completed"; }));
-  site.Kill ("runner0");
+  site.Control (site.runners[0], "{\"mode\":\"unanswered\"}");
   EXPECT_EQ (site.Submit (0, 2, 0, site.Job (4, 1, "run 100")).status, 200);
+  ASSERT_TRUE (site.Until ([&] {
+    return !site.EventTimes ("runner0", "start_dropped", site.Id (2)).empty ();
+  }));
+  site.Kill ("runner0");
   ASSERT_TRUE (
       site.Until ([&] { return site.Logged ("agent0", "event=start_failed"); }));
   site.StartRunner (0, kFirstHeartbeatMs);
