--- a/review/standin-3/site.hpp
+++ b/review/standin-3/site.hpp
@@ -142,10 +142,10 @@
   return true;
 }
 
-// Sends one request on a connection of its own.
+// Sends one request on a connection of its own. KEY: of the caller's tenant, or "".
 inline Reply
 Http (const std::string &address, const std::string &method, const std::string &path,
-      const std::string &body = "", int timeout_ms = 3000)
+      const std::string &body = "", int timeout_ms = 3000, const std::string &key = "")
 {
   Reply reply;
   size_t colon = address.find (':');
@@ -156,6 +156,7 @@
   std::string out = method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\n" +
                     "Content-Type: application/json\r\nConnection: close\r\n" +
                     "Deadline-Ms: " + std::to_string (timeout_ms) +
+                    (key.empty () ? "" : "\r\nKey: " + key) +
                     "\r\nContent-Length: " + std::to_string (body.size ()) + "\r\n\r\n" +
                     body;
   size_t sent = 0;
@@ -406,14 +407,15 @@
   }
 
   // Submits a job as a client does: again, at the next entry, until an answer is 2xx.
-  // Returns whether the job was accepted.
+  // KEY: of the job's tenant, or "". Returns whether the job was accepted.
   bool
-  Submit (const std::string &queue, unsigned n, const std::string &job)
+  Submit (const std::string &queue, unsigned n, const std::string &job,
+          const std::string &key = "")
   {
     for (int attempt = 0; attempt < 4; attempt++)
       {
         Reply reply = Http (callers[(size_t)attempt % callers.size ()], "POST",
-                            queue + Id (n), job);
+                            queue + Id (n), job, 3000, key);
 
         Record ("sent POST %s%s %s -> %d", queue.c_str (), Id (n).c_str (), job.c_str (),
                 reply.status);
