--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -13,11 +13,12 @@
 static std::string
 Config (int version, int decide_ms)
 {
-  return "{\"version\":" + std::to_string (version) + ",\"routes\":[" + review::Queue (0) +
-         "," +
+  return "{\"version\":" + std::to_string (version) + ",\"routes\":[" +
+         review::Queue (0) + "," +
          review::Queue (1, ",\"advisor\":{\"decideMs\":" + std::to_string (decide_ms) +
                                ",\"eachMs\":" + std::to_string (kEachMs) +
-                               ",\"validityMs\":" + std::to_string (kValidityMs) + "}") +
+                               ",\"validityMs\":" + std::to_string (kValidityMs) +
+                               "}") +
          "],\"tenants\":[]}";
 }
 
@@ -56,8 +57,9 @@
   std::string state = site.State ("/q1/", 2);
   answers = advisor.Answers () - answers;
   site.RecordRuns ();
-  site.Record ("40 s after the traffic: state=%s, %d answers of the advisor for the job",
-               state.c_str (), answers);
+  site.Record (
+      "40 s after the traffic: state=%s, %d answers of the advisor for the job",
+      state.c_str (), answers);
   if (state == "completed")
     site.Quit (0, "the second job was run");
   if (answers < 2 || site.Running (2).size () > 0)
--- a/review/14/case.cc
+++ b/review/14/case.cc
@@ -48,12 +48,14 @@
   for (auto &e : site.Events ())
     starts += e.what == "run_start" && e.task.compare (0, 16, Site::Id (kSmall)) == 0;
   site.RecordRuns ();
-  site.Record ("17.5 s after the traffic: state=%s starts=%zu, accelerators in use %zu of "
-               "24, 7 free on each worker",
-               state.c_str (), starts, long_running);
+  site.Record (
+      "17.5 s after the traffic: state=%s starts=%zu, accelerators in use %zu of "
+      "24, 7 free on each worker",
+      state.c_str (), starts, long_running);
   if (state == "completed")
     site.Quit (0, "the small job was run");
   if (long_running != 3 || site.Running (kLarge).size () > 0)
     site.Quit (2, "the workers are not as intended");
-  site.Quit (1, "LOST: the small job has nothing running, with room for it on each worker");
+  site.Quit (
+      1, "LOST: the small job has nothing running, with room for it on each worker");
 }
--- a/review/standin-3/advisor.hpp
+++ b/review/standin-3/advisor.hpp
@@ -1,6 +1,6 @@
-// A stand-in for the platform's advisor: it handles one call at a time, takes DECIDE_MS and
-// EACH_MS for each worker named, and allows all of them. Its tickets are those that the
-// project's stand-in of the worker checks: STEP@WORKER.
+// A stand-in for the platform's advisor: it handles one call at a time, takes DECIDE_MS
+// and EACH_MS for each worker named, and allows all of them. Its tickets are those that
+// the project's stand-in of the worker checks: STEP@WORKER.
 #ifndef REVIEW_STANDIN_3_ADVISOR_HPP
 #define REVIEW_STANDIN_3_ADVISOR_HPP
 
@@ -117,8 +117,8 @@
       }
     SleepMs (decide_ms_ + each_ms_ * workers);
     answers_++;
-    std::string text =
-        "{\"allowed\":[" + rows + "],\"validityMs\":" + std::to_string (validity_ms_) + "}";
+    std::string text = "{\"allowed\":[" + rows +
+                       "],\"validityMs\":" + std::to_string (validity_ms_) + "}";
     site_.Record ("advisor asked %s answered %s", body.c_str (), text.c_str ());
     return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
            std::to_string (text.size ()) + "\r\n\r\n" + text;
--- a/review/standin-3/site.hpp
+++ b/review/standin-3/site.hpp
@@ -1,6 +1,7 @@
-// A small deployment for the scripts of the third review: the project's entries and agents
-// as separate processes, its stand-ins for the store and the workers, and an HTTP client.
-// Everything listens on loopback. Times are in ms since the site was created.
+// A small deployment for the scripts of the third review: the project's entries and
+// agents as separate processes, its stand-ins for the store and the workers, and an
+// HTTP client. Everything listens on loopback. Times are in ms since the site was
+// created.
 #ifndef REVIEW_STANDIN_3_SITE_HPP
 #define REVIEW_STANDIN_3_SITE_HPP
 
@@ -92,8 +93,8 @@
   }
 };
 
-// Decodes the reply IN, after which the connection has ended if ENDED. Returns false while
-// it is incomplete.
+// Decodes the reply IN, after which the connection has ended if ENDED. Returns false
+// while it is incomplete.
 inline bool
 ParseReply (const std::string &in, bool ended, Reply *reply)
 {
@@ -142,10 +143,10 @@
   return true;
 }
 
-// Sends one request on a connection of its own. KEY: of the caller's tenant, or "".
+// Sends one request on a connection of its own.
 inline Reply
 Http (const std::string &address, const std::string &method, const std::string &path,
-      const std::string &body = "", int timeout_ms = 3000, const std::string &key = "")
+      const std::string &body = "", int timeout_ms = 3000)
 {
   Reply reply;
   size_t colon = address.find (':');
@@ -156,9 +157,8 @@
   std::string out = method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\n" +
                     "Content-Type: application/json\r\nConnection: close\r\n" +
                     "Deadline-Ms: " + std::to_string (timeout_ms) +
-                    (key.empty () ? "" : "\r\nKey: " + key) +
-                    "\r\nContent-Length: " + std::to_string (body.size ()) + "\r\n\r\n" +
-                    body;
+                    "\r\nContent-Length: " + std::to_string (body.size ()) +
+                    "\r\n\r\n" + body;
   size_t sent = 0;
 
   addr.sin_family = AF_INET;
@@ -212,21 +212,30 @@
   std::vector<std::string> runners;  // workers' addresses
   std::string store = FreeAddress ();
 
-  // The folder of the case, for record.txt; the current folder is the repository's root.
+  // The folder of the case, for record.txt; the current folder is the repository's
+  // root.
   explicit Site (const std::string &folder) : start_ms_ (ClockMs (CLOCK_MONOTONIC))
   {
-    char dir[] = "/tmp/carobrun-review-XXXXXX";
     const char *trouble = getenv ("TROUBLE");
+    const char *tmp = getenv ("TMPDIR");
+    std::string dir =
+        std::string (tmp == nullptr ? "/tmp" : tmp) + "/carobrun-review-XXXXXX";
 
     trouble_ = trouble == nullptr || strcmp (trouble, "0") != 0;
-    dir_ = mkdtemp (dir);
     record_ = fopen ((folder + "/record.txt").c_str (), "w");
-    if (record_ == nullptr)
-      Quit (2, "record.txt cannot be written");
+    if (record_ == nullptr || mkdtemp (&dir[0]) == nullptr)
+      {
+        fprintf (stderr, "cannot write to %s or %s\n", folder.c_str (), dir.c_str ());
+        exit (2);
+      }
+    dir_ = dir;
     Record ("trouble=%d", trouble_);
   }
 
-  ~Site () { EndAll (); }
+  ~Site ()
+  {
+    EndAll ();
+  }
 
   bool
   Trouble () const
@@ -281,16 +290,17 @@
 
     callers.push_back (FreeAddress ());
     ready.push_back (FreeAddress ());
-    Write (name, "name: " + name + "\navailability_zone: z\nregion: r\ncaller_address: '" +
-                     callers.back () + "'\nready_address: '" + ready.back () +
-                     "'\nmetrics_address: '" + FreeAddress () + "'\nstore_address: '" +
-                     store +
-                     "'\nhold_max_ms: 4000\ngrace_s: 6\nstop_ms: 400\nreclaim_ms: 2900\n"
-                     "status_s: 120\nremote_slowdown: 3\nkeep_s: " +
-                     std::to_string (keep_s) +
-                     "\n"
-                     "cpu_share: 0.25\nmemory_mb: 260\nmax_fds: 4100\nlog_level: info\n" +
-                     more);
+    Write (name,
+           "name: " + name + "\navailability_zone: z\nregion: r\ncaller_address: '" +
+               callers.back () + "'\nready_address: '" + ready.back () +
+               "'\nmetrics_address: '" + FreeAddress () + "'\nstore_address: '" +
+               store +
+               "'\nhold_max_ms: 4000\ngrace_s: 6\nstop_ms: 400\nreclaim_ms: 2900\n"
+               "status_s: 120\nremote_slowdown: 3\nkeep_s: " +
+               std::to_string (keep_s) +
+               "\n"
+               "cpu_share: 0.25\nmemory_mb: 260\nmax_fds: 4100\nlog_level: info\n" +
+               more);
     StartEntry ((int)callers.size () - 1);
   }
 
@@ -302,11 +312,10 @@
     Start (name, "target/carobrun", { "batch-entry", "--settings", Settings (name) });
   }
 
-  // Adds an agent with its worker, which is in RACK.
-  // With TICKETS, it refuses starts without a ticket of the advisor.
-  // Its heartbeats name ADDRESS, or, where that is empty, its own address.
+  // Adds an agent with its worker, which is in RACK. With TICKETS the worker refuses
+  // starts without a ticket of the advisor.
   void
-  AddWorker (const std::string &rack, bool tickets = false, const std::string &address = "")
+  AddWorker (const std::string &rack, bool tickets = false)
   {
     int i = (int)runners.size ();
     std::string name = "agent" + std::to_string (i);
@@ -314,9 +323,9 @@
     controls.push_back (FreeAddress ());
     runners.push_back (FreeAddress ());
     racks_.push_back (rack);
-    announced_.push_back (address.empty () ? runners[i] : address);
     tickets_ = tickets;
-    Write (name, "name: " + name + "\navailability_zone: z\nregion: r\ncontrol_address: '" +
+    Write (name, "name: " + name +
+                     "\navailability_zone: z\nregion: r\ncontrol_address: '" +
                      controls[i] + "'\nwire_address: '" + FreeAddress () +
                      "'\nmetrics_address: '" + FreeAddress () + "'\nworker_address: '" +
                      runners[i] + "'\nstore_address: '" + store +
@@ -330,24 +339,32 @@
   StartRunner (int i)
   {
     std::string name = "runner" + std::to_string (i);
-    std::vector<std::string> args = { "--listen", runners[i], "--agent", controls[i], "--id",
-                                      "w" + std::to_string (i), "--rack", racks_[i],
-                                      "--progress", "--trace", dir_ + "/" + name + ".trace",
-                                      "--announce", announced_[(size_t)i] };
+    std::vector<std::string> args = { "--listen",
+                                      runners[i],
+                                      "--agent",
+                                      controls[i],
+                                      "--id",
+                                      "w" + std::to_string (i),
+                                      "--rack",
+                                      racks_[i],
+                                      "--progress",
+                                      "--trace",
+                                      dir_ + "/" + name + ".trace" };
 
     if (tickets_)
       args.push_back ("--tickets");
     Start (name, "target/review-3/carobrun-fake-runner", args);
   }
 
-  // Deletes the records of the topic `batch` that are older than KEEP_S, as the platform's
-  // store does by itself. To be called often.
+  // Deletes the records of the topic `batch` that are older than KEEP_S, as the
+  // platform's store does by itself. To be called often.
   void
   ExpireRecords (int keep_s)
   {
     std::string from = std::to_string (ends_.empty () ? 0 : ends_.back ().second);
-    Reply reply = Http (
-        store, "GET", "/api/log-read?topic=batch&part=0&waitMs=0&from=" + from, "", 1000);
+    Reply reply =
+        Http (store, "GET", "/api/log-read?topic=batch&part=0&waitMs=0&from=" + from,
+              "", 1000);
     uint64_t end = 0;
     uint64_t before = 0;
 
@@ -362,7 +379,8 @@
         ends_.erase (ends_.begin ());
       }
     if (before > 0)
-      Http (store, "POST", "/delete?topic=batch&before=" + std::to_string (before), "", 1000);
+      Http (store, "POST", "/delete?topic=batch&before=" + std::to_string (before), "",
+            1000);
   }
 
   // Writes the operator's configuration, and with it its version.
@@ -410,18 +428,17 @@
   }
 
   // Submits a job as a client does: again, at the next entry, until an answer is 2xx.
-  // KEY: of the job's tenant, or "". Returns whether the job was accepted.
+  // Returns whether the job was accepted.
   bool
-  Submit (const std::string &queue, unsigned n, const std::string &job,
-          const std::string &key = "")
+  Submit (const std::string &queue, unsigned n, const std::string &job)
   {
     for (int attempt = 0; attempt < 4; attempt++)
       {
         Reply reply = Http (callers[(size_t)attempt % callers.size ()], "POST",
-                            queue + Id (n), job, 3000, key);
+                            queue + Id (n), job);
 
-        Record ("sent POST %s%s %s -> %d", queue.c_str (), Id (n).c_str (), job.c_str (),
-                reply.status);
+        Record ("sent POST %s%s %s -> %d", queue.c_str (), Id (n).c_str (),
+                job.c_str (), reply.status);
         if (reply.status / 100 == 2)
           return true;
         SleepMs (500);
@@ -534,19 +551,12 @@
     return all.find (text) != std::string::npos;
   }
 
-  const std::string &
-  Dir () const
-  {
-    return dir_;
-  }
-
 private:
   int64_t start_ms_;
   bool trouble_;
   std::string dir_;
   FILE *record_;
   std::vector<std::string> racks_;
-  std::vector<std::string> announced_;
   bool tickets_ = false;
   std::vector<std::pair<int64_t, uint64_t> > ends_; // of the topic `batch`, by time
   std::map<std::string, pid_t> pids_;
