Log for how long the tickets of an advisor's answer can be used

`job_idle why=advice` beside repeated `advice` lines with allowed= above 0 has two explanations: the tickets have expired when they arrive, or they are for another incarnation of the workers. No line told them apart.

The `advice` line now has usable_ms, and the answer is passed on with the validity that it states. Decisions are unchanged.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -254,20 +254,22 @@
   return request;
 }
 
-/* Applies the advisor's answer to REQUEST, which was sent at SENT_MS: ALLOWED lists the
-   COUNT workers that may run the step; the other candidates are refused. The tickets
-   are valid for the request's ticket_validity_ms from SENT_MS on. Ignored when the job
-   is not known any more or this process is not the scheduler. */
-void
+/* Applies ADVICE, the answer to REQUEST, which was sent at SENT_MS. Ignored when the
+   job is not known any more or this process is not the scheduler. Returns the time in
+   ms for which starts may use the tickets, at most 0 for none. */
+cb_msec_t
 cb_batch_apply_advice (cb_batch_t *b, const cb_batch_advice_request_t *request,
-                       const cb_batch_permit_t *allowed, size_t count,
-                       cb_msec_t sent_ms)
+                       const cb_batch_advice_t *advice, cb_msec_t sent_ms,
+                       cb_msec_t now_ms)
 {
+  cb_msec_t validity_ms = request->ticket_validity_ms;
+  cb_msec_t margin_ms = MIN (TICKET_MARGIN_MS, validity_ms / TICKET_MARGIN_DIVISOR);
+  cb_msec_t usable_until_ms = sent_ms + validity_ms - margin_ms;
   job_t *job = find_job (b, request->job);
   step_state_t *step;
 
   if (job == NULL || b->own_epoch == 0)
-    return;
+    return 0;
   step = &job->occurrences[request->occurrence].steps[request->step];
   if (step->decisions == NULL)
     step->decisions =
@@ -278,14 +280,13 @@
       decision_t *decision = g_new0 (decision_t, 1);
 
       decision->incarnation_ms = candidate->incarnation_ms;
-      decision->usable_until_ms =
-          sent_ms + request->ticket_validity_ms -
-          MIN (TICKET_MARGIN_MS, request->ticket_validity_ms / TICKET_MARGIN_DIVISOR);
-      for (size_t k = 0; k < count; k++)
+      decision->usable_until_ms = usable_until_ms;
+      for (size_t k = 0; k < advice->count; k++)
         if (decision->ticket == NULL &&
-            strcmp (allowed[k].worker, candidate->worker) == 0)
-          decision->ticket = g_strdup (allowed[k].ticket);
+            strcmp (advice->allowed[k].worker, candidate->worker) == 0)
+          decision->ticket = g_strdup (advice->allowed[k].ticket);
       g_hash_table_replace (step->decisions, g_strdup (candidate->worker), decision);
     }
   b->dirty = TRUE;
+  return usable_until_ms - now_ms;
 }
--- a/batch/dat.h
+++ b/batch/dat.h
@@ -117,7 +117,7 @@
   uint32_t step;
   GPtrArray *candidates;        /* of cb_batch_candidate_t, owned */
   cb_msec_t advice_ms;          /* expected time until the answer */
-  cb_msec_t ticket_validity_ms; /* validity of the tickets in the answer */
+  cb_msec_t ticket_validity_ms; /* by the configuration, for an answer without it */
 } cb_batch_advice_request_t;
 
 /* The advisor's permission to run the step on a worker; the start command has to carry
@@ -128,6 +128,14 @@
   const char *ticket;
 } cb_batch_permit_t;
 
+/* The advisor's answer to a request. */
+typedef struct
+{
+  const cb_batch_permit_t *allowed; /* the other candidates are refused */
+  size_t count;
+  cb_msec_t validity_ms; /* of the tickets; 0: not stated */
+} cb_batch_advice_t;
+
 /* What a process knows of the outages of the log. All zero at the start. */
 typedef struct
 {
--- a/batch/fns.h
+++ b/batch/fns.h
@@ -113,9 +113,10 @@
 void cb_batch_keep_advice (Cb__BatchJob *job, const cb_batch_queue_t *queue);
 cb_batch_advice_request_t *cb_batch_pop_advice_request (cb_batch_t *batch);
 void cb_batch_advice_request_free (cb_batch_advice_request_t *request);
-void cb_batch_apply_advice (cb_batch_t *batch, const cb_batch_advice_request_t *request,
-                            const cb_batch_permit_t *allowed, size_t count,
-                            cb_msec_t sent_ms);
+cb_msec_t cb_batch_apply_advice (cb_batch_t *batch,
+                                 const cb_batch_advice_request_t *request,
+                                 const cb_batch_advice_t *advice, cb_msec_t sent_ms,
+                                 cb_msec_t now_ms);
 
 /* lead.c, report.c, orders.c: used by the scheduler only. */
 void cb_batch_set_own_epoch (cb_batch_t *batch, uint64_t epoch, cb_msec_t now_ms);
--- a/cmd/batch_advice.c
+++ b/cmd/batch_advice.c
@@ -13,22 +13,23 @@
 } call_t;
 
 static void
-on_answer (void *ctx, int err, const cb_batch_permit_t *allowed, size_t count)
+on_answer (void *ctx, int err, const cb_batch_advice_t *advice)
 {
   call_t *call = ctx;
   cb_batch_entry_t *entry = call->entry;
   const cb_batch_advice_request_t *request = call->request;
-  cb_msec_t took_ms = cb_batch_now_ms () - call->sent_ms;
+  cb_msec_t now_ms = cb_batch_now_ms ();
+  cb_msec_t took_ms = now_ms - call->sent_ms;
 
-  /* In the log lines, asked= is the number of candidate workers and allowed= the number
-     of permits in the reply. */
+  /* In the log lines, asked= is the number of candidate workers, allowed= the number of
+     permits in the reply, and usable_ms= the time for which starts may use them. */
   entry->advice_pending = FALSE;
   cb_counters_add (entry->counters, "advice_calls_total",
                    err < 0 ? "result=\"failed\"" : "result=\"answered\"", 1);
   cb_counters_observe (entry->counters, "advice_duration_ms", NULL, took_ms);
   if (err < 0)
     {
-      entry->advice_not_before_ms = cb_batch_now_ms () + RETRY_MS;
+      entry->advice_not_before_ms = now_ms + RETRY_MS;
       cb_event (CB_LOG_WARN, "entry", "advice_failed",
                 "job=%s step=%u.%u asked=%u err=%d took_ms=%" PRId64, request->job,
                 request->occurrence, request->step, request->candidates->len, err,
@@ -36,11 +37,14 @@
     }
   else
     {
+      cb_msec_t usable_ms =
+          cb_batch_apply_advice (entry->batch, request, advice, call->sent_ms, now_ms);
+
       cb_event (CB_LOG_INFO, "entry", "advice",
-                "job=%s step=%u.%u asked=%u allowed=%zu took_ms=%" PRId64, request->job,
-                request->occurrence, request->step, request->candidates->len, count,
-                took_ms);
-      cb_batch_apply_advice (entry->batch, request, allowed, count, call->sent_ms);
+                "job=%s step=%u.%u asked=%u allowed=%zu took_ms=%" PRId64
+                " usable_ms=%" PRId64,
+                request->job, request->occurrence, request->step,
+                request->candidates->len, advice->count, took_ms, usable_ms);
     }
   cb_batch_advice_request_free (call->request);
   g_free (call);
--- a/test/batch_advisor.h
+++ b/test/batch_advisor.h
@@ -47,8 +47,9 @@
       }
     for (const auto &ticket : tickets)
       permits.push_back ({ ticket.first.c_str (), ticket.second.c_str () });
-    cb_batch_apply_advice (scheduler, request_, permits.data (), permits.size (),
-                           sent_ms_);
+    const cb_batch_advice_t advice = { permits.data (), permits.size (),
+                                       ticket_validity_ms };
+    cb_batch_apply_advice (scheduler, request_, &advice, sent_ms_, now);
     cb_batch_advice_request_free (request_);
     request_ = nullptr;
   }
