Count a ticket's validity from the arrival of the advisor's answer

Cause: cb_batch_apply_advice counted the validity from the sending of the request. The advisor issues tickets once it has decided, so that a slow one left usable_ms=-150: advice_refresh discarded every ticket at arrival and the next request had the same result, without end.

The validity now counts from the arrival, which the duration of the call does not shorten. An answer that was held up on its way may overstate the rest; its worker then rejects the start, and the ticket is discarded and asked for again once it could have expired. A rejection while the ticket must still be valid has another reason and keeps it.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -16,10 +16,13 @@
 /* The advisor's decision on a worker for one step. */
 typedef struct
 {
-  uint64_t incarnation_ms;   /* the worker process that the ticket is for */
-  char *ticket;              /* NULL: the step must not run there */
-  cb_msec_t usable_until_ms; /* last time for a start with the ticket: its
-                                validity less the margin above */
+  uint64_t incarnation_ms;    /* the worker process that the ticket is for */
+  char *ticket;               /* NULL: the step must not run there */
+  cb_msec_t usable_until_ms;  /* last time for a start with the ticket: its
+                                 validity from the arrival of the answer, less
+                                 the margin above */
+  cb_msec_t certain_until_ms; /* the same, had it been issued when the request was
+                                 sent */
 } decision_t;
 
 static void
@@ -93,6 +96,25 @@
   return decision->ticket != NULL && *now_ms > decision->usable_until_ms;
 }
 
+/* Discards the ticket for TASK on W, which has rejected the start, unless the ticket
+   must still be valid: it may have been issued some time before the answer arrived. */
+void
+advice_start_rejected (const task_t *task, const worker_t *w, cb_msec_t now_ms)
+{
+  GHashTable *decisions = task_step (task)->decisions;
+  const decision_t *decision =
+      decisions == NULL ? NULL : g_hash_table_lookup (decisions, w->id);
+
+  if (decision == NULL || decision->ticket == NULL ||
+      now_ms <= decision->certain_until_ms)
+    return;
+  cb_event (CB_LOG_INFO, "batch", "ticket_discarded",
+            "job=%s task=%u.%u.%u worker=%s left_ms=%" PRId64, task->job->spec->id,
+            task->occurrence, task->step, task->index, w->id,
+            decision->usable_until_ms - now_ms);
+  g_hash_table_remove (decisions, w->id);
+}
+
 /* Sets the parameters of JOB's advisor to those of QUEUE, with which JOB is accepted:
    its steps need tickets also when a later configuration lacks the queue. */
 void
@@ -254,17 +276,19 @@
   return request;
 }
 
-/* Applies ADVICE, the answer to REQUEST, which was sent at SENT_MS. Ignored when the
-   job is not known any more or this process is not the scheduler. Returns the time in
-   ms for which starts may use the tickets, at most 0 for none. */
+/* Applies ADVICE, the answer to REQUEST, which was sent at SENT_MS and has arrived at
+   NOW_MS. The advisor issues the tickets once it has decided, so that their validity
+   counts from the arrival, however long it took. Ignored when the job is not known any
+   more or this process is not the scheduler. Returns the time in ms for which starts
+   may use the tickets. */
 cb_msec_t
 cb_batch_apply_advice (cb_batch_t *b, const cb_batch_advice_request_t *request,
                        const cb_batch_advice_t *advice, cb_msec_t sent_ms,
                        cb_msec_t now_ms)
 {
   cb_msec_t validity_ms = request->ticket_validity_ms;
-  cb_msec_t margin_ms = MIN (TICKET_MARGIN_MS, validity_ms / TICKET_MARGIN_DIVISOR);
-  cb_msec_t usable_until_ms = sent_ms + validity_ms - margin_ms;
+  cb_msec_t usable_ms =
+      validity_ms - MIN (TICKET_MARGIN_MS, validity_ms / TICKET_MARGIN_DIVISOR);
   job_t *job = find_job (b, request->job);
   step_state_t *step;
 
@@ -280,7 +304,8 @@
       decision_t *decision = g_new0 (decision_t, 1);
 
       decision->incarnation_ms = candidate->incarnation_ms;
-      decision->usable_until_ms = usable_until_ms;
+      decision->usable_until_ms = now_ms + usable_ms;
+      decision->certain_until_ms = sent_ms + usable_ms;
       for (size_t k = 0; k < advice->count; k++)
         if (decision->ticket == NULL &&
             strcmp (advice->allowed[k].worker, candidate->worker) == 0)
@@ -288,5 +313,5 @@
       g_hash_table_replace (step->decisions, g_strdup (candidate->worker), decision);
     }
   b->dirty = TRUE;
-  return usable_until_ms - now_ms;
+  return usable_ms;
 }
--- a/batch/local.h
+++ b/batch/local.h
@@ -627,6 +627,7 @@
 void advice_clear (step_state_t *step);
 const char *advice_ticket (const task_t *task, const worker_t *w);
 gboolean advice_allows (const task_t *task, const worker_t *w);
+void advice_start_rejected (const task_t *task, const worker_t *w, cb_msec_t now_ms);
 void advice_refresh (const cb_batch_t *b, const job_t *job, step_state_t *step,
                      cb_msec_t now_ms);
 gboolean advice_incomplete (const GPtrArray *capacities, const task_t *task,
--- a/batch/report.c
+++ b/batch/report.c
@@ -385,8 +385,11 @@
     {
       task_t *task = find_task (b, report->rejected[i]);
 
-      if (is_current_run (task, w, report->rejected[i]) && !task->reported)
-        propose_end (b, task, CB__RUN_END__RUN_REJECTED, NULL, "refused");
+      if (!is_current_run (task, w, report->rejected[i]) || task->reported)
+        continue;
+      if (!task->proposed_end)
+        advice_start_rejected (task, w, now_ms);
+      propose_end (b, task, CB__RUN_END__RUN_REJECTED, NULL, "refused");
     }
 }
 
--- a/test/batch_advice_test.cc
+++ b/test/batch_advice_test.cc
@@ -75,6 +75,37 @@
   EXPECT_EQ (sim.refused_tickets, 0);
 }
 
+// Guards against tickets that count as expired when they arrive, as the advisor took
+// almost as long to decide as they are valid: the step would never start.
+TEST (BatchAdvice, TicketOfASlowAdvisorIsUsed)
+{
+  for (cb_msec_t advice_ms : { 2650, 3000, 5000 })
+    {
+      BatchSimulation sim (1, 1);
+
+      sim.EnableAdvisor (0, { "w0" }, 3000, advice_ms, 0);
+      sim.SubmitAndRun ("j", 0, { { 1, 8 } }, 5000, advice_ms + 300);
+      EXPECT_EQ (sim.Running ("j"), 1) << advice_ms;
+      EXPECT_EQ (sim.refused_tickets, 0) << advice_ms;
+      EXPECT_EQ (sim.advisor.requests, 1) << advice_ms;
+    }
+}
+
+// Guards against repeated starts with a ticket that the worker takes as expired earlier
+// than the scheduler.
+TEST (BatchAdvice, RejectedTicketIsRequestedAgain)
+{
+  BatchSimulation sim (1, 1);
+
+  sim.SubmitAndRun ("busy", 1, { { 1, 8 } }, 3000, 400);
+  sim.EnableAdvisor (2, { "w0" }, 2000, 1500);
+  sim.advisor.issues_early = true;
+  sim.SubmitAndRun ("j", 2, { { 1, 8 } }, 3000, 5000);
+  EXPECT_EQ (sim.Running ("j"), 1);
+  EXPECT_EQ (sim.refused_tickets, 1);
+  EXPECT_EQ (sim.advisor.requests, 2);
+}
+
 TEST (BatchAdvice, RestartedWorkerNeedsANewTicket)
 {
   BatchSimulation sim (1, 1);
--- a/test/batch_advisor.h
+++ b/test/batch_advisor.h
@@ -16,6 +16,8 @@
   std::set<std::string> allowed;    // permitted workers
   cb_msec_t ticket_validity_ms = 0; // 0: workers require no ticket
   int requests = 0;
+  // Tickets are valid from the request on, instead of from the answer on.
+  bool issues_early = false;
 
   ~Advisor ()
   {
@@ -43,7 +45,7 @@
           tickets.emplace_back (
               candidate->worker,
               TicketPrefix (candidate->worker, candidate->incarnation_ms) +
-                  std::to_string (now));
+                  std::to_string (issues_early ? sent_ms_ : now));
       }
     for (const auto &ticket : tickets)
       permits.push_back ({ ticket.first.c_str (), ticket.second.c_str () });
--- a/test/batch_harness.h
+++ b/test/batch_harness.h
@@ -575,17 +575,19 @@
   {
     Claim (active == primary ? standby : primary);
   }
-  // Makes the queue of PRIORITY an advised one, with tickets valid for VALIDITY_MS.
+  // Makes the queue of PRIORITY an advised one, with tickets valid for VALIDITY_MS. The
+  // advisor takes BASE_MS for a request, plus PER_WORKER_MS for each candidate worker.
   void
   EnableAdvisor (uint32_t priority, std::set<std::string> allowed,
-                 cb_msec_t validity_ms)
+                 cb_msec_t validity_ms, cb_msec_t base_ms = 30,
+                 cb_msec_t per_worker_ms = 2)
   {
     cb_batch_queue_t *advised =
         cb_batch_config_add_queue (config, ("q" + std::to_string (priority)).c_str ());
 
     advised->advised = TRUE;
-    advised->advice_base_ms = 30;
-    advised->advice_per_worker_ms = 2;
+    advised->advice_base_ms = base_ms;
+    advised->advice_per_worker_ms = per_worker_ms;
     advised->ticket_validity_ms = validity_ms;
     config->advised = TRUE;
     advisor.allowed = std::move (allowed);
