Take the validity of tickets from the advisor's answer

The answer states how long its tickets are valid, and the scheduler used the figure of the configuration instead. After a change of the validity, or for a job whose queue is not in the configuration any more, starts went out with expired tickets, or none did.

Without validityMs in the answer the configuration counts as before.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -286,7 +286,8 @@
                        const cb_batch_advice_t *advice, cb_msec_t sent_ms,
                        cb_msec_t now_ms)
 {
-  cb_msec_t validity_ms = request->ticket_validity_ms;
+  cb_msec_t validity_ms =
+      advice->validity_ms > 0 ? advice->validity_ms : request->ticket_validity_ms;
   cb_msec_t usable_ms =
       validity_ms - MIN (TICKET_MARGIN_MS, validity_ms / TICKET_MARGIN_DIVISOR);
   job_t *job = find_job (b, request->job);
--- a/test/batch_advice_test.cc
+++ b/test/batch_advice_test.cc
@@ -91,6 +91,21 @@
     }
 }
 
+// Guards against starts with an expired ticket, or without end for lack of one, after a
+// change of the validity that the job's configuration does not show.
+TEST (BatchAdvice, ValidityIsThatOfTheAnswer)
+{
+  BatchSimulation sim (1, 1);
+
+  sim.SubmitAndRun ("busy", 1, { { 1, 8 } }, 3000, 400);
+  sim.EnableAdvisor (2, { "w0" }, 60000);
+  sim.advisor.ticket_validity_ms = 1000;
+  sim.SubmitAndRun ("j", 2, { { 1, 8 } }, 3000, 3500);
+  EXPECT_EQ (sim.Running ("j"), 1);
+  EXPECT_EQ (sim.refused_tickets, 0);
+  EXPECT_EQ (sim.advisor.requests, 2);
+}
+
 // Guards against repeated starts with a ticket that the worker takes as expired earlier
 // than the scheduler.
 TEST (BatchAdvice, RejectedTicketIsRequestedAgain)
