Log which room is reserved for tasks that wait, and whom it keeps waiting

`job_idle` named only the job that had been idle longest: beside a gang that lacks room, a job that has room was not in the logs. Its reason would have been `held`, as the search did not see the room that place_together reserves for tasks which wait for running work to end.

`room_awaited` logs such a reservation once for a step. A placement pass leaves it at the worker, the search deducts it, and the new reason `awaited` says that the only room is reserved. A job that lacks room gives way to one that has room; a search finds at most 16 reasons.

--- a/batch/dat.h
+++ b/batch/dat.h
@@ -173,6 +173,7 @@
   CB_WAIT_RACK,          /* its gang has room on several racks, but not on one */
   CB_WAIT_RESERVED,      /* there is room on workers reserved for more urgent work */
   CB_WAIT_UNTRUSTED,     /* there is room on workers that failed runs */
+  CB_WAIT_AWAITED,       /* the room is reserved for tasks that wait for running work */
   CB_WAIT_EVACUATED,     /* all workers that suit it are in evacuated zones */
   CB_WAIT_STARTS_HELD,   /* it is not known which zones are evacuated */
   CB_WAIT_HELD,          /* it could be placed */
--- a/batch/local.h
+++ b/batch/local.h
@@ -92,6 +92,7 @@
   /* Scheduler, of a step that prefers one rack: since when it could have started over
      several; 0: not yet. */
   cb_msec_t rack_wait_since_ms;
+  gboolean awaits_room;  /* room is reserved until running work ends */
   gboolean advised;      /* runs only where the advisor permits it */
   GHashTable *decisions; /* worker -> decision_t of advice.c; NULL: no answer yet */
 } step_state_t;
@@ -144,6 +145,14 @@
   cb_msec_t since_ms;
 } avoided_t;
 
+/* Room of a worker that is reserved for tasks which wait for running work to end. */
+typedef struct
+{
+  int64_t cpu_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+} awaited_t;
+
 /* One incarnation of a worker process. */
 struct worker
 {
@@ -199,6 +208,7 @@
   uint32_t ordered_starts;       /* in the latest message to its agent */
   uint32_t shown_starts;         /* runs that its reports have shown first since then */
   capacity_t *capacity;          /* in the current placement pass; NULL: none */
+  awaited_t awaited;             /* in the latest placement pass */
   uint32_t kinds;                /* set of the kinds of its tasks, see apart.c */
   gboolean kinds_known;          /* in this pass: `kinds` is valid */
   uint32_t filler_percent;       /* CPU share granted to its filler tasks, see pace.c */
@@ -565,6 +575,9 @@
 double fleet_utilization (const GPtrArray *capacities);
 void capacity_take (capacity_t *capacity, const Cb__BatchStep *step);
 void capacity_release (capacity_t *capacity, const Cb__BatchStep *step);
+void capacity_await (capacity_t *capacity, const Cb__BatchStep *step);
+void deduct_awaited (const pass_t *pass, int64_t factor);
+void forget_awaited (const pass_t *pass);
 gboolean worker_suits (const worker_t *w, const task_t *task);
 gboolean worker_holds (const worker_t *w, const Cb__BatchStep *step);
 gboolean capacity_allows (const capacity_t *capacity, const task_t *task,
--- a/batch/place.c
+++ b/batch/place.c
@@ -335,6 +335,7 @@
     }
   start_tasks (pass->b, tasks, workers, count, pass->now_ms);
   task_step (tasks[0])->rack_wait_since_ms = 0;
+  task_step (tasks[0])->awaits_room = FALSE;
   pass->starts_left -= MIN (pass->starts_left, count);
   g_free (workers);
 }
@@ -688,6 +689,7 @@
       MAX (PLANNED_WORKERS_MAX, PLANS_MIN * (int64_t)pass->capacities->len);
   cb_batch_advice_request_free (cb_batch_pop_advice_request (b));
   pass->starts_left = PASS_STARTS_MAX;
+  forget_awaited (pass);
   reserve_for_urgent (pass->capacities);
   reserve_plans (pass, demands);
   reserve_relocations (pass);
--- a/batch/reclaim.c
+++ b/batch/reclaim.c
@@ -600,6 +600,21 @@
   return wait_ms;
 }
 
+/* Logs once that room is reserved for COUNT tasks like TASK, which is expected to be
+   free in WAIT_MS. */
+static void
+note_awaited (const task_t *task, uint32_t count, double wait_ms)
+{
+  step_state_t *step = task_step (task);
+
+  if (!step->awaits_room)
+    cb_event (CB_LOG_INFO, "batch", "room_awaited",
+              "job=%s task=%u.%u priority=%u tasks=%u wait_ms=%.0f",
+              task->job->spec->id, task->occurrence, task->step,
+              task->job->spec->priority, count, wait_ms);
+  step->awaits_room = TRUE;
+}
+
 /* Deducts the capacity that is expected to become free first in SCOPE, or anywhere if
    no rack is expected to have room, for COUNT tasks that cannot start yet, so that
    smaller tasks do not take it bit by bit. */
@@ -613,6 +628,8 @@
     wait_ms = expected_room_ms (pass, tasks, count, SCOPE_FLEET, chosen);
   for (uint32_t i = 0; wait_ms >= 0 && i < count; i++)
     if (chosen[i] != NULL)
-      capacity_take (chosen[i]->capacity, task_spec (tasks[i]));
+      capacity_await (chosen[i]->capacity, task_spec (tasks[i]));
+  if (wait_ms >= 0)
+    note_awaited (tasks[0], count, wait_ms);
   g_free (chosen);
 }
--- a/batch/room.c
+++ b/batch/room.c
@@ -303,6 +303,44 @@
   capacity->accelerators += step->accelerators;
 }
 
+/* Reserves room of CAPACITY for a task of STEP that waits for running work to end. */
+void
+capacity_await (capacity_t *capacity, const Cb__BatchStep *step)
+{
+  awaited_t *awaited = &capacity->worker->awaited;
+
+  capacity_take (capacity, step);
+  awaited->cpu_milli += step->fills ? 0 : step->cpu_milli;
+  awaited->memory_mb += step->memory_mb;
+  awaited->accelerators += step->accelerators;
+}
+
+/* Deducts the room that the latest placement pass has reserved for waiting tasks, or
+   with FACTOR -1 gives it back. */
+void
+deduct_awaited (const pass_t *pass, int64_t factor)
+{
+  for (guint i = 0; i < pass->capacities->len; i++)
+    {
+      capacity_t *capacity = pass->capacities->pdata[i];
+      const awaited_t *awaited = &capacity->worker->awaited;
+
+      capacity->cpu_milli -= factor * awaited->cpu_milli;
+      capacity->memory_mb -= factor * awaited->memory_mb;
+      capacity->accelerators -= factor * awaited->accelerators;
+    }
+}
+
+/* Forgets the room that an earlier pass has reserved for waiting tasks. */
+void
+forget_awaited (const pass_t *pass)
+{
+  const awaited_t none = { 0 };
+
+  for (guint i = 0; i < pass->capacities->len; i++)
+    ((capacity_t *)pass->capacities->pdata[i])->worker->awaited = none;
+}
+
 static uint32_t
 tasks_of_step (const worker_t *w, const task_t *task)
 {
--- a/batch/waits.c
+++ b/batch/waits.c
@@ -7,6 +7,8 @@
 #define IDLE_JOB_MS 2000
 /* While more of the fleet is in use, a job may have to wait for its turn. */
 #define ROOM_UTILIZATION 0.5
+/* A search finds the reason for at most this many jobs. */
+#define REASONS_MAX 16
 /* Shortest time between two searches, and between two log lines. */
 #define SEARCH_INTERVAL_MS 500
 #define LOG_INTERVAL_MS 2000
@@ -26,6 +28,7 @@
   [CB_WAIT_RACK] = "rack",
   [CB_WAIT_RESERVED] = "reserved",
   [CB_WAIT_UNTRUSTED] = "untrusted",
+  [CB_WAIT_AWAITED] = "awaited",
   [CB_WAIT_EVACUATED] = "evacuated",
   [CB_WAIT_STARTS_HELD] = "starts_held",
   [CB_WAIT_HELD] = "held",
@@ -96,9 +99,9 @@
   return FALSE;
 }
 
-/* Returns why TASK, or its gang, is not placed in the free capacity. */
+/* Returns why TASK, or its gang, is not placed in the free capacity of PASS. */
 static cb_batch_wait_reason_t
-reason_of_placement (pass_t *pass, task_t *task)
+reason_of_room (pass_t *pass, task_t *task)
 {
   const Cb__BatchStep *spec = task_spec (task);
   step_state_t *step = task_step (task);
@@ -122,6 +125,21 @@
   return reason;
 }
 
+/* Returns why TASK, or its gang, is not placed. */
+static cb_batch_wait_reason_t
+reason_of_placement (pass_t *pass, task_t *task)
+{
+  cb_batch_wait_reason_t all_room = reason_of_room (pass, task);
+  cb_batch_wait_reason_t reason;
+
+  if (all_room == CB_WAIT_NO_ROOM)
+    return all_room;
+  deduct_awaited (pass, 1);
+  reason = reason_of_room (pass, task);
+  deduct_awaited (pass, -1);
+  return reason == CB_WAIT_NO_ROOM ? CB_WAIT_AWAITED : reason;
+}
+
 static cb_batch_wait_reason_t
 reason_of_started (const task_t *task)
 {
@@ -178,11 +196,10 @@
 }
 
 static void
-fill_wait (pass_t *pass, task_t *task, cb_batch_wait_t *wait)
+fill_wait (const pass_t *pass, const task_t *task, cb_batch_wait_t *wait)
 {
   const worker_t *w = task->state == TASK_STARTED ? task->worker : NULL;
 
-  wait->reason = reason_of (pass, task);
   g_snprintf (wait->task, sizeof wait->task, "%u.%u.%u", task->occurrence, task->step,
               task->index);
   wait->run = task->run;
@@ -239,13 +256,37 @@
       wait->workers_untrusted, b->own_epoch);
 }
 
+/* Notes in WAIT that TASK has waited for IDLE_MS, if that is more important to know
+   than what WAIT has: a job that lacks room must not hide one that has room, and of two
+   such jobs the one counts that has been idle longest. REASONS_LEFT: how many more
+   reasons the search may find. Returns TRUE when it is noted. */
+static gboolean
+note_wait (pass_t *pass, task_t *task, cb_msec_t idle_ms, cb_batch_wait_t *wait,
+           uint32_t *reasons_left)
+{
+  gboolean longer = idle_ms > wait->idle_ms;
+  gboolean lacks_room = wait->reason == CB_WAIT_NO_ROOM;
+  cb_batch_wait_reason_t reason;
+
+  if ((!longer && !lacks_room) || *reasons_left == 0)
+    return FALSE;
+  --*reasons_left;
+  reason = reason_of (pass, task);
+  if (reason == CB_WAIT_NO_ROOM && wait->reason != CB_WAIT_NONE &&
+      !(lacks_room && longer))
+    return FALSE;
+  wait->reason = reason;
+  wait->idle_ms = idle_ms;
+  return TRUE;
+}
+
 /* Looks for open jobs of which no task runs although one may and less than half of the
-   fleet is in use. Keeps the one that has been idle longest for cb_batch_wait, and logs
-   it. */
+   fleet is in use. Keeps one for cb_batch_wait, see note_wait, and logs it. */
 void
 find_waits (cb_batch_t *b, cb_msec_t now_ms, cb_msec_t wall_ms)
 {
   task_t *stuck = NULL;
+  uint32_t reasons_left = REASONS_MAX;
   pass_t *pass;
   gboolean room;
 
@@ -256,6 +297,7 @@
   pass = pass_new (b, now_ms);
   count_workers (pass, &b->wait);
   room = fleet_utilization (pass->capacities) < ROOM_UTILIZATION;
+  reserve_for_urgent (pass->capacities);
   for (GList *l = b->job_list.head; l != NULL; l = l->next)
     {
       job_t *job = l->data;
@@ -271,16 +313,11 @@
       if (now_ms - job->stuck_since_ms < IDLE_JOB_MS)
         continue;
       b->wait.jobs++;
-      if (now_ms - job->stuck_since_ms <= b->wait.idle_ms)
-        continue;
-      b->wait.idle_ms = now_ms - job->stuck_since_ms;
-      stuck = task;
+      if (note_wait (pass, task, now_ms - job->stuck_since_ms, &b->wait, &reasons_left))
+        stuck = task;
     }
   if (stuck != NULL)
-    {
-      reserve_for_urgent (pass->capacities);
-      fill_wait (pass, stuck, &b->wait);
-    }
+    fill_wait (pass, stuck, &b->wait);
   pass_free (pass);
   log_wait (b, &b->wait, now_ms);
 }
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -444,4 +444,36 @@
   EXPECT_LE (sim.first_start_ms["u.0.0.0"] - accepted, 5250 + 1000 + 300);
 }
 
+// Occupies one accelerator of each of the WORKERS workers for a minute, and submits an
+// urgent gang that needs all of them whole.
+void
+LetAGangWait (BatchSimulation &sim, uint32_t workers)
+{
+  StepSpec each = { workers, 1 };
+
+  each.per_worker_max = 1;
+  each.estimate_ms = 60000;
+  sim.SubmitAndRun ("long", 0, { each }, 60000, 500);
+  sim.run_time_ms["large"] = 2000;
+  sim.Submit ("large", 0, { { workers, 8, 1000, true } });
+  sim.Advance (1000);
+  ASSERT_EQ (sim.Running ("long"), static_cast<int> (workers));
+  ASSERT_EQ (sim.Running ("large"), 0);
+}
+
+// Guards against an idle job that waits for room which logs call free, as they do not
+// show that it is reserved. The room would not hold two such jobs: this one may wait.
+TEST (BatchPlace, ReasonOfAJobBesideAwaitedRoomIsKnown)
+{
+  BatchSimulation sim (2, 2);
+
+  LetAGangWait (sim, 2);
+  StepSpec pair = { 2, 7, 1000, true };
+  pair.estimate_ms = 60000;
+  sim.SubmitAndRun ("pair", 2, { pair }, 60000, 4000);
+  EXPECT_EQ (sim.Running ("pair"), 0);
+  EXPECT_EQ (cb_batch_wait (sim.primary).jobs, 2u);
+  EXPECT_EQ (cb_batch_wait (sim.primary).reason, CB_WAIT_AWAITED);
+}
+
 } // namespace
