Ask for all tickets of a large gang in one request

After the first answer, a request for a gang names up to 100 workers, as many as the platform takes, and includes those whose tickets would expire before the answer. Other steps need one valid ticket at a time and ask as before. A gang on more than 100 workers still depends on two answers within the validity.

TicketsOfALargeGangAreValidTogether (35 workers of 40, 2.64 s an answer, tickets of 3 s): no member ran before, all run after two requests now.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -4,9 +4,11 @@
 
 #include <string.h>
 
-/* Maximum number of workers in a request, as the advisor takes time for each. The
-   platform accepts up to 100. */
+/* Maximum number of workers in a request, as the advisor takes time for each. */
 #define REQUEST_WORKERS_MAX 30
+/* The same for a gang that the first answer has not started: it needs valid tickets for
+   all its workers at a time. */
+#define GANG_REQUEST_WORKERS_MAX 100
 /* A ticket is not used in the last TICKET_MARGIN_MS of its validity, but at most the
    last 1 / TICKET_MARGIN_DIVISOR of it, so that the start reaches the worker in
    time. */
@@ -151,18 +153,27 @@
   return job->spec->advised || advised_queue (b, job) != NULL;
 }
 
-/* Sets the times of REQUEST for JOB by the present configuration, or by that with which
-   JOB was accepted. */
-static void
-set_request_times (const cb_batch_t *b, const job_t *job,
-                   cb_batch_advice_request_t *request)
+/* Returns the time in ms that the advisor takes for a request of JOB about WORKERS
+   workers, by the present configuration, or by that with which JOB was accepted. */
+static cb_msec_t
+advice_time_ms (const cb_batch_t *b, const job_t *job, guint workers)
 {
   const cb_batch_queue_t *queue = advised_queue (b, job);
   cb_msec_t base_ms = queue != NULL ? queue->advice_base_ms : job->spec->advice_base_ms;
   cb_msec_t per_worker_ms =
       queue != NULL ? queue->advice_per_worker_ms : job->spec->advice_per_worker_ms;
 
-  request->advice_ms = base_ms + per_worker_ms * (cb_msec_t)request->candidates->len;
+  return base_ms + per_worker_ms * (cb_msec_t)workers;
+}
+
+/* Sets the times of REQUEST for JOB, from the same source. */
+static void
+set_request_times (const cb_batch_t *b, const job_t *job,
+                   cb_batch_advice_request_t *request)
+{
+  const cb_batch_queue_t *queue = advised_queue (b, job);
+
+  request->advice_ms = advice_time_ms (b, job, request->candidates->len);
   request->ticket_validity_ms =
       queue != NULL ? queue->ticket_validity_ms : job->spec->ticket_validity_ms;
 }
@@ -212,21 +223,33 @@
   return FALSE;
 }
 
-/* Adds undecided workers that suit TASK to REQUEST: those with enough free capacity for
-   it, or those without. */
+/* TRUE when the ticket of STEP for W can be used at TIME_MS, or the advisor has refused
+   W. */
+static gboolean
+is_decided_at (const step_state_t *step, const worker_t *w, cb_msec_t time_ms)
+{
+  const decision_t *decision =
+      step->decisions == NULL ? NULL : g_hash_table_lookup (step->decisions, w->id);
+
+  return has_decision (step, w) &&
+         (decision->ticket == NULL || decision->usable_until_ms >= time_ms);
+}
+
+/* Adds up to MAX workers that suit TASK and are not decided at TIME_MS to REQUEST:
+   those with enough free capacity for it, or those without. */
 static void
-add_candidates (cb_batch_advice_request_t *request, GPtrArray *capacities,
-                const task_t *task, gboolean with_capacity)
+add_candidates (cb_batch_advice_request_t *request, const GPtrArray *capacities,
+                const task_t *task, gboolean with_capacity, guint max,
+                cb_msec_t time_ms)
 {
-  for (guint i = 0;
-       i < capacities->len && request->candidates->len < REQUEST_WORKERS_MAX; i++)
+  for (guint i = 0; i < capacities->len && request->candidates->len < max; i++)
     {
       const capacity_t *capacity = capacities->pdata[i];
       cb_batch_candidate_t *candidate;
 
       if (capacity_fits (capacity, task_spec (task)) != with_capacity ||
           !worker_suits (capacity->worker, task) ||
-          has_decision (task_step (task), capacity->worker))
+          is_decided_at (task_step (task), capacity->worker, time_ms))
         continue;
       candidate = g_new0 (cb_batch_candidate_t, 1);
       candidate->worker = g_strdup (capacity->worker->id);
@@ -238,24 +261,31 @@
 /* Prepares the request for the decisions that TASK's step lacks, unless a request for
    more urgent work is prepared already. Workers with enough free capacity come first.
    Without ASK_ALL other workers are included only until the first answer for the step,
-   as the advisor answers one request at a time. */
+   as the advisor answers one request at a time. For a gang the request renews tickets
+   that would expire before the answer: all have to be valid when it starts. */
 void
-advice_prepare_request (cb_batch_t *b, GPtrArray *capacities, const task_t *task,
-                        gboolean ask_all)
+advice_prepare_request (const pass_t *pass, const task_t *task, gboolean ask_all)
 {
+  cb_batch_t *b = pass->b;
+  gboolean first = task_step (task)->decisions == NULL;
+  gboolean large = task_spec (task)->gang && !first;
+  guint max = large ? GANG_REQUEST_WORKERS_MAX : REQUEST_WORKERS_MAX;
+  cb_msec_t time_ms = pass->now_ms;
   cb_batch_advice_request_t *request;
 
   if (b->advice_request != NULL || !is_advised (b, task->job) ||
-      !advice_incomplete (capacities, task, FALSE))
+      !advice_incomplete (pass->capacities, task, FALSE))
     return;
+  if (large)
+    time_ms += advice_time_ms (b, task->job, MIN (max, pass->capacities->len));
   request = g_new0 (cb_batch_advice_request_t, 1);
   request->job = g_strdup (task->job->spec->id);
   request->occurrence = task->occurrence;
   request->step = task->step;
   request->candidates = g_ptr_array_new_with_free_func (free_candidate);
-  add_candidates (request, capacities, task, TRUE);
-  if (ask_all || task_step (task)->decisions == NULL)
-    add_candidates (request, capacities, task, FALSE);
+  add_candidates (request, pass->capacities, task, TRUE, max, time_ms);
+  if (ask_all || first)
+    add_candidates (request, pass->capacities, task, FALSE, max, time_ms);
   if (request->candidates->len == 0)
     {
       cb_batch_advice_request_free (request);
--- a/batch/local.h
+++ b/batch/local.h
@@ -649,8 +649,7 @@
                      cb_msec_t now_ms);
 gboolean advice_incomplete (const GPtrArray *capacities, const task_t *task,
                             gboolean with_capacity);
-void advice_prepare_request (cb_batch_t *b, GPtrArray *capacities, const task_t *task,
-                             gboolean ask_all);
+void advice_prepare_request (const pass_t *pass, const task_t *task, gboolean ask_all);
 
 /* pace.c */
 void pace_update (cb_batch_t *b, worker_t *w, cb_msec_t now_ms);
--- a/batch/place.c
+++ b/batch/place.c
@@ -706,8 +706,7 @@
         break;
     }
   if (step->advised && count > 0 && any_unstarted (tasks, count))
-    advice_prepare_request (pass->b, pass->capacities, tasks[0],
-                            may_preempt (pass, demand));
+    advice_prepare_request (pass, tasks[0], may_preempt (pass, demand));
   g_free (tasks);
 }
 
--- a/test/batch_advice_test.cc
+++ b/test/batch_advice_test.cc
@@ -186,6 +186,22 @@
   EXPECT_LE (sim.advisor.requests, 3);
 }
 
+// Guards against a gang that never starts on an idle fleet: it needs more workers than
+// one request names, and the first tickets expire before the last ones arrive.
+TEST (BatchAdvice, TicketsOfALargeGangAreValidTogether)
+{
+  BatchSimulation sim (40, 40);
+  std::set<std::string> all;
+
+  for (int i = 0; i < 40; i++)
+    all.insert ("w" + std::to_string (i));
+  sim.EnableAdvisor (0, all, 3000, 2600, 1);
+  sim.SubmitAndRun ("g", 0, { { 35, 8, 1000, true } }, 5000, 6000);
+  EXPECT_EQ (sim.Running ("g"), 35);
+  EXPECT_EQ (sim.refused_tickets, 0);
+  EXPECT_LE (sim.advisor.requests, 2);
+}
+
 // A guarantee preempts on the workers that the advisor permits, and starts in time.
 TEST (BatchAdvice, GuaranteePreemptsOnPermittedWorkers)
 {
