--- a/batch/misses.c
+++ b/batch/misses.c
@@ -18,8 +18,8 @@
   double slowness_min; /* of the workers that it looked at */
   double slowness_max;
   reach_t reach; /* of a search for free capacity */
-  /* As above: a shorter task could have used room that is reserved for others; 0: it
-     could not. */
+  /* Of a search for free capacity beside reserved room, which shorter tasks may use:
+     the expected run time. 0: no room was reserved. */
   cb_msec_t task_ms;
   claim_t claim; /* of a search for work to preempt, as the next two */
   gboolean preempt_equals;
