Ask for tickets also where room is reserved for others

After the first answer for a step the advisor is asked only about workers with room. Room that is reserved for a waiting gang did not count, so that an idle job of an advised queue, once its tickets had expired, asked for no new ones and could not use that room as other jobs do since.

AdvisedJobStartsBesideAGangThatWaits (tickets of 1 s, a task of 80 s): not started before, started within 3 s now. batch_place_test, batch_advice_test and batch_rack_test pass.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -204,7 +204,7 @@
 
 /* TRUE when TASK's step is advised and the advisor has not decided yet on at least one
    of the workers that suit TASK or, with WITH_CAPACITY, of those that also have enough
-   free capacity for it. */
+   free capacity for it, with what is reserved for others but may be used. */
 gboolean
 advice_incomplete (const GPtrArray *capacities, const task_t *task,
                    gboolean with_capacity)
@@ -215,7 +215,7 @@
     {
       const capacity_t *capacity = capacities->pdata[i];
 
-      if ((!with_capacity || capacity_fits (capacity, task_spec (task))) &&
+      if ((!with_capacity || capacity_fits_with_awaited (capacity, task_spec (task))) &&
           worker_suits (capacity->worker, task) &&
           !has_decision (step, capacity->worker))
         return TRUE;
@@ -247,7 +247,7 @@
       const capacity_t *capacity = capacities->pdata[i];
       cb_batch_candidate_t *candidate;
 
-      if (capacity_fits (capacity, task_spec (task)) != with_capacity ||
+      if (capacity_fits_with_awaited (capacity, task_spec (task)) != with_capacity ||
           !worker_suits (capacity->worker, task) ||
           is_decided_at (task_step (task), capacity->worker, time_ms))
         continue;
--- a/batch/local.h
+++ b/batch/local.h
@@ -580,6 +580,8 @@
 void capacity_release (capacity_t *capacity, const Cb__BatchStep *step);
 void capacity_await (capacity_t *capacity, const Cb__BatchStep *step,
                      cb_msec_t free_ms);
+gboolean capacity_fits_with_awaited (const capacity_t *capacity,
+                                     const Cb__BatchStep *step);
 void deduct_awaited (const pass_t *pass);
 void forget_awaited (const pass_t *pass);
 gboolean worker_suits (const worker_t *w, const task_t *task);
--- a/batch/room.c
+++ b/batch/room.c
@@ -322,6 +322,19 @@
   awaited->free_ms = awaited->free_ms == 0 ? free_ms : MIN (awaited->free_ms, free_ms);
 }
 
+/* As capacity_fits, with the room that is reserved for waiting tasks. */
+gboolean
+capacity_fits_with_awaited (const capacity_t *capacity, const Cb__BatchStep *step)
+{
+  const awaited_t *awaited = &capacity->worker->awaited;
+  capacity_t whole = *capacity;
+
+  whole.cpu_milli += awaited->cpu_milli;
+  whole.memory_mb += awaited->memory_mb;
+  whole.accelerators += awaited->accelerators;
+  return capacity_fits (&whole, step);
+}
+
 /* Deducts the room that the latest placement pass has reserved for waiting tasks. */
 void
 deduct_awaited (const pass_t *pass)
@@ -451,16 +464,9 @@
 fits_in_awaited (const pass_t *pass, const capacity_t *capacity, const task_t *task,
                  reach_t reach)
 {
-  const awaited_t *awaited = &capacity->worker->awaited;
-  capacity_t whole = *capacity;
-
-  if (awaited->free_ms == 0 ||
-      (reach < REACH_AWAITED && !ends_before_awaited (pass, capacity, task)))
-    return FALSE;
-  whole.cpu_milli += awaited->cpu_milli;
-  whole.memory_mb += awaited->memory_mb;
-  whole.accelerators += awaited->accelerators;
-  return capacity_fits (&whole, task_spec (task));
+  return capacity->worker->awaited.free_ms > 0 &&
+         (reach >= REACH_AWAITED || ends_before_awaited (pass, capacity, task)) &&
+         capacity_fits_with_awaited (capacity, task_spec (task));
 }
 
 /* Returns the worker of CAPACITIES with the best score for TASK among those within
--- a/test/batch_place_test.cc
+++ b/test/batch_place_test.cc
@@ -532,4 +532,20 @@
   EXPECT_GE (sim.first_start_ms.count ("large.0.0.0"), 1u);
 }
 
+// Guards against an idle job of an advised queue whose tickets expired before it could
+// use room that is reserved for a gang, and that asks for no new ones as it has no
+// room.
+TEST (BatchPlace, AdvisedJobStartsBesideAGangThatWaits)
+{
+  BatchSimulation sim (3, 3);
+  StepSpec task;
+
+  task.estimate_ms = 80000;
+  LetAGangWait (sim, 3);
+  sim.EnableAdvisor (2, { "w0", "w1", "w2" }, 1000);
+  sim.SubmitAndRun ("small", 2, { task }, 80000, 3000);
+  EXPECT_EQ (sim.Running ("small"), 1);
+  EXPECT_EQ (sim.refused_tickets, 0);
+}
+
 } // namespace
