Name at most 30 workers in a request for a small gang

Only a gang of more than 30 tasks can need that many tickets at a time; for a smaller one the request took up to three times as long.

RequestsOfASmallGangAreBounded (two tasks, 70 workers): fails before, holds now with as many requests. TicketsOfALargeGangAreValidTogether still holds.

--- a/batch/advice.c
+++ b/batch/advice.c
@@ -6,8 +6,8 @@
 
 /* Maximum number of workers in a request, as the advisor takes time for each. */
 #define REQUEST_WORKERS_MAX 30
-/* The same for a gang that the first answer has not started, as it needs valid tickets
-   for all its workers at a time. The platform accepts no more. */
+/* The same for a gang of more tasks that the first answer has not started, as it needs
+   valid tickets for all its workers at a time. The platform accepts no more. */
 #define GANG_REQUEST_WORKERS_MAX 100
 /* A ticket is not used in the last TICKET_MARGIN_MS of its validity, but at most the
    last 1 / TICKET_MARGIN_DIVISOR of it, so that the start reaches the worker in
@@ -268,15 +268,17 @@
 {
   cb_batch_t *b = pass->b;
   gboolean first = task_step (task)->decisions == NULL;
-  gboolean whole_gang = task_spec (task)->gang && !first;
-  guint max = whole_gang ? GANG_REQUEST_WORKERS_MAX : REQUEST_WORKERS_MAX;
+  gboolean gang_waits = task_spec (task)->gang && !first;
+  guint max = gang_waits && task_step (task)->count > REQUEST_WORKERS_MAX
+                  ? GANG_REQUEST_WORKERS_MAX
+                  : REQUEST_WORKERS_MAX;
   cb_msec_t time_ms = pass->now_ms;
   cb_batch_advice_request_t *request;
 
   if (b->advice_request != NULL || !is_advised (b, task->job) ||
       !advice_incomplete (pass->capacities, task, FALSE))
     return;
-  if (whole_gang)
+  if (gang_waits)
     time_ms += advice_time_ms (b, task->job, MIN (max, pass->capacities->len));
   request = g_new0 (cb_batch_advice_request_t, 1);
   request->job = g_strdup (task->job->spec->id);
--- a/test/batch_advice_test.cc
+++ b/test/batch_advice_test.cc
@@ -202,6 +202,19 @@
   EXPECT_LE (sim.advisor.requests, 2);
 }
 
+// Guards against long requests for a small gang, as the advisor takes time for each
+// worker.
+TEST (BatchAdvice, RequestsOfASmallGangAreBounded)
+{
+  BatchSimulation sim (70, 3);
+
+  sim.EnableAdvisor (0, { "w68", "w69" }, 5000);
+  sim.SubmitAndRun ("g", 0, { { 2, 8, 1000, true } }, 5000, 1000);
+  EXPECT_EQ (sim.Running ("g"), 2);
+  EXPECT_LE (sim.advisor.requests, 3);
+  EXPECT_LE (sim.advisor.largest_request, 30u);
+}
+
 // A guarantee preempts on the workers that the advisor permits, and starts in time.
 TEST (BatchAdvice, GuaranteePreemptsOnPermittedWorkers)
 {
--- a/test/batch_advisor.h
+++ b/test/batch_advisor.h
@@ -3,6 +3,7 @@
 #ifndef TEST_BATCH_ADVISOR_H
 #define TEST_BATCH_ADVISOR_H
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
   std::set<std::string> allowed;    // permitted workers
   cb_msec_t ticket_validity_ms = 0; // 0: workers require no ticket
   int requests = 0;
+  guint largest_request = 0; // in workers
   // Tickets are valid from the request on, instead of from the answer on.
   bool issues_early = false;
 
@@ -32,6 +34,8 @@
         request_ = cb_batch_pop_advice_request (scheduler);
         sent_ms_ = now;
         requests += request_ != nullptr;
+        if (request_ != nullptr)
+          largest_request = std::max (largest_request, request_->candidates->len);
       }
     if (request_ == nullptr || now < sent_ms_ + request_->advice_ms)
       return;
